Thin whole path on the users' platform: gateway, adapter, deploy file

Cause: the product reached endpoints only through agents and spoke its own headers only; the platform has no slot beside plain services and its endpoints say themselves what they did not run. Change: core::direct (routes, keys, freshness, roster, placement, relay, retry share), crates/gateway (threads and sockets), platform/ (names, formats, calls).

--- /dev/null
+++ b/crates/core/src/direct/access.rs
@@ -0,0 +1,68 @@
+//! Whether a request may be sent on, by the newest declarations.
+//!
+//! Asked when a request was read and again before each send, after the last wait: a key or route that was removed
+//! meanwhile must not be used.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::direct::{credentials, declarations, freshness, route};
+use crate::problem;
+use crate::time;
+
+/// What a request may use.
+#[derive(Debug, Clone)]
+pub struct Grant {
+    /// Its route.
+    pub route: Arc<route::Route>,
+    /// Who holds its key; `None` on routes that need none.
+    pub organisation: Option<Arc<credentials::Organisation>>,
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Host, perhaps with a port.
+    pub host: &'a str,
+    /// Path without a query.
+    pub path: &'a str,
+    /// API key.
+    pub key: Option<&'a str>,
+}
+
+/// Looks up route and key. `declared` is `None` until the first declarations are read; `bound` is the time within which
+/// a revoked key must stop.
+///
+/// # Errors
+///
+/// The kind of problem that the caller is told. Declarations that may be out of date never lead to a final refusal.
+pub fn grant(
+    declared: Option<&declarations::Declarations>,
+    freshness: &freshness::Freshness,
+    bound: Duration,
+    now: time::Time,
+    ask: Ask<'_>,
+) -> Result<Grant, problem::ProblemKind> {
+    let declared = declared.ok_or(problem::ProblemKind::NotReady)?;
+    let confirmed = freshness.allows_keys(now, bound);
+    let Some(route) = declared.routes.find(ask.host, ask.path) else {
+        return Err(if confirmed {
+            problem::ProblemKind::UnknownRoute
+        } else {
+            problem::ProblemKind::NotReady
+        });
+    };
+    let route = Arc::clone(route);
+    let Some(credentials) = declared.credentials.as_ref().filter(|_| !route.open) else {
+        return Ok(Grant {
+            route,
+            organisation: None,
+        });
+    };
+    if !confirmed {
+        return Err(problem::ProblemKind::KeysUnconfirmed);
+    }
+    let holder = ask.key.and_then(|key| credentials.holder(key));
+    let organisation = Some(Arc::clone(holder.ok_or(problem::ProblemKind::UnknownKey)?));
+    Ok(Grant { route, organisation })
+}
--- /dev/null
+++ b/crates/core/src/direct/admission.rs
@@ -0,0 +1,35 @@
+//! Whether a stream is begun now or refused at once.
+//!
+//! The load it answers: more streams than a lock-step group can write in time. Every further stream slows all streams
+//! of the group, and one that waits behind full batches misses its objective and holds up those behind it.
+
+use std::time::Duration;
+
+use crate::direct::placement;
+
+/// Streams that may wait at an endpoint, as a share of its slots, before further ones are refused: slots turn over fast
+/// enough for these to begin within their objective.
+const QUEUE_SHARE: f64 = 0.1;
+/// Shortest wait that a refusal names.
+const MIN_WAIT: Duration = Duration::from_millis(300);
+/// Wait for each whole batch that is ahead.
+const WAIT_PER_BATCH: Duration = Duration::from_millis(600);
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It is begun.
+    Begin,
+    /// It is refused, and may come back after this time.
+    Refuse(Duration),
+}
+
+/// Decides on a stream for a service under `load`.
+pub fn stream(load: &placement::ServiceLoad) -> Admission {
+    if load.least < 1.0 + QUEUE_SHARE {
+        return Admission::Begin;
+    }
+    let ahead = f64::from(load.under_way) / f64::from(load.slots.max(1));
+    let wait = WAIT_PER_BATCH.mul_f64((ahead - 1.0).clamp(0.0, 4.0));
+    Admission::Refuse(MIN_WAIT + wait)
+}
--- /dev/null
+++ b/crates/core/src/direct/freshness.rs
@@ -0,0 +1,36 @@
+//! How long ago the declarations in force were known to be the newest.
+//!
+//! Keys can be revoked while an instance is out of touch. A key is therefore honoured only for a bounded time after a
+//! read that confirmed it, counted from when that read was sent: its answer may have been on its way for long. The
+//! driver's clock has to go on while the machine is suspended.
+
+use std::time::Duration;
+
+use crate::time;
+
+/// Part of the bound that is left for the way to the endpoint and for late timers.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// When the declarations were last confirmed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Freshness {
+    /// When the last confirming read was sent.
+    confirmed: Option<time::Time>,
+}
+
+impl Freshness {
+    /// Notes that a read sent at `sent` found the declarations in force to be the newest.
+    pub fn confirm(&mut self, sent: time::Time) {
+        self.confirmed = self.confirmed.max(Some(sent));
+    }
+
+    /// Age of the last confirmation; `None` before the first.
+    pub fn age(&self, now: time::Time) -> Option<Duration> {
+        self.confirmed.map(|at| now.since(at))
+    }
+
+    /// Whether keys may be honoured at `now` when a revocation has to bind within `bound`.
+    pub fn allows_keys(&self, now: time::Time, bound: Duration) -> bool {
+        self.age(now).is_some_and(|age| age + MARGIN < bound)
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/mod.rs
@@ -0,0 +1,27 @@
+//! Decisions of a gateway: an entry that calls endpoints directly instead of through agents.
+//!
+//! A gateway serves endpoints that can't run an agent beside them but say for certain when they refused a request.
+//! Everything here is pure: the gateway's threads pass in the time, the facts and the random numbers.
+//!
+//! ```text
+//!  table feed ─► declarations (route_table, credentials) ─► freshness ─┐
+//!  table feed ─► roster ─────────────────────────────────► placement ─┼─► relay ─► endpoint
+//!  peers, answers ───────────────────────────────────────► placement ─┘     │
+//!                                                          retry_share ◄────┘
+//! ```
+
+pub mod access;
+pub mod admission;
+pub mod answer_class;
+pub mod credentials;
+pub mod declarations;
+pub mod endpoint;
+pub mod engine_model;
+pub mod event_cut;
+pub mod freshness;
+pub mod placement;
+pub mod relay;
+pub mod retry_share;
+pub mod roster;
+pub mod route;
+pub mod route_table;
--- /dev/null
+++ b/crates/core/src/direct/relay.rs
@@ -0,0 +1,120 @@
+//! One caller's request on its way through endpoints.
+//!
+//! This machine alone decides whether a request is sent again and what its caller is told. The driver reports what
+//! happened to each send.
+
+use crate::direct::route;
+
+/// Connections that may fail before a request is given up: nothing was sent, so more than one is harmless, but each
+/// costs the caller a time-out.
+const MAX_FAILED_CONNECTS: u32 = 3;
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Send it to an endpoint that has not had it, if the retry budget affords it when `repeat` is set.
+    Send {
+        /// Whether an endpoint may already have got it.
+        repeat: bool,
+    },
+    /// Give up.
+    End(Verdict),
+}
+
+/// What a caller is told when no endpoint's answer is handed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It has not run and will not.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// The state of one request.
+#[derive(Debug, Clone)]
+pub struct Relay {
+    kind: route::RouteKind,
+    max_attempts: u32,
+    /// Sends of which a byte may have left; at most `max_attempts`.
+    sent: u32,
+    failed_connects: u32,
+    /// Whether some endpoint may have run it. Never goes back to `false`.
+    may_have_run: bool,
+    /// Whether a send is under way whose fate is open.
+    open: bool,
+}
+
+impl Relay {
+    /// A request that was read and not sent.
+    pub fn new(kind: route::RouteKind, max_attempts: u32) -> Self {
+        Self {
+            kind,
+            max_attempts: max_attempts.max(1),
+            sent: 0,
+            failed_connects: 0,
+            may_have_run: false,
+            open: false,
+        }
+    }
+
+    /// A byte may leave from now on.
+    pub fn sending(&mut self) {
+        self.sent += 1;
+        self.open = true;
+    }
+
+    /// No connection came about, or it closed before the request left.
+    pub fn not_sent(&mut self) -> Next {
+        if self.open {
+            self.open = false;
+            self.sent -= 1;
+        }
+        self.failed_connects += 1;
+        if self.failed_connects < MAX_FAILED_CONNECTS {
+            self.next()
+        } else {
+            Next::End(self.verdict())
+        }
+    }
+
+    /// The endpoint proved that it did not run it.
+    pub fn refused(&mut self) -> Next {
+        self.open = false;
+        self.next()
+    }
+
+    /// Sent, and no whole answer came.
+    pub fn lost(&mut self) -> Next {
+        self.open = false;
+        self.may_have_run = true;
+        self.next()
+    }
+
+    /// The endpoint ran it and failed. The failure can be handed on when the result is [`Next::End`].
+    pub fn failed(&mut self) -> Next {
+        self.lost()
+    }
+
+    /// What the caller is told when nothing more is tried, whatever the reason.
+    pub fn verdict(&self) -> Verdict {
+        if self.may_have_run || self.open {
+            Verdict::Unknown
+        } else {
+            Verdict::NotRun
+        }
+    }
+
+    /// Endpoints that it was sent to.
+    pub fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    fn next(&self) -> Next {
+        let harmless = !self.may_have_run || self.kind.is_repeatable();
+        if harmless && self.sent < self.max_attempts {
+            Next::Send { repeat: self.sent > 0 }
+        } else {
+            Next::End(self.verdict())
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod config;
 pub mod decision_log;
 pub mod digest;
+pub mod direct;
 pub mod dispatcher;
 pub mod entry_board;
 pub mod event_split;
--- a/crates/core/src/problem.rs
+++ b/crates/core/src/problem.rs
@@ -14,6 +14,12 @@
 pub enum ProblemKind {
     /// The path names no declared service.
     UnknownService,
+    /// No route begins the path at this host.
+    UnknownRoute,
+    /// The route needs a key, and the request bears none that is in force.
+    UnknownKey,
+    /// Keys may have been revoked since the declarations were last confirmed.
+    KeysUnconfirmed,
     /// The service declares no such path.
     UndeclaredPath,
     /// The path is declared, but not for this method.
@@ -58,7 +64,8 @@
     /// HTTP status of the problem.
     pub const fn status(self) -> u16 {
         match self {
-            Self::UnknownService | Self::UndeclaredPath => 404,
+            Self::UnknownKey => 401,
+            Self::UnknownService | Self::UnknownRoute | Self::UndeclaredPath => 404,
             Self::MethodNotAllowed => 405,
             Self::MissingOrganisation | Self::BadHeader | Self::BadDeadline | Self::BadBody => 400,
             Self::BodyTooLarge => 413,
@@ -68,6 +75,7 @@
             | Self::NoEndpoint
             | Self::Leaving
             | Self::ClaimsUnavailable
+            | Self::KeysUnconfirmed
             | Self::NotReady
             | Self::DeadlineBeforeStart => 503,
             Self::DeadlineAfterStart => 504,
@@ -94,6 +102,7 @@
                 | Self::NoEndpoint
                 | Self::Leaving
                 | Self::ClaimsUnavailable
+                | Self::KeysUnconfirmed
                 | Self::NotReady
                 | Self::DeadlineBeforeStart
         )
@@ -103,6 +112,9 @@
     pub const fn slug(self) -> &'static str {
         match self {
             Self::UnknownService => "unknown-service",
+            Self::UnknownRoute => "unknown-route",
+            Self::UnknownKey => "unknown-key",
+            Self::KeysUnconfirmed => "keys-unconfirmed",
             Self::UndeclaredPath => "undeclared-path",
             Self::MethodNotAllowed => "method-not-allowed",
             Self::MissingOrganisation => "missing-organisation",
@@ -129,6 +141,9 @@
     pub const fn title(self) -> &'static str {
         match self {
             Self::UnknownService => "No such service is declared",
+            Self::UnknownRoute => "No route begins the path at this host",
+            Self::UnknownKey => "The key is missing or not in force",
+            Self::KeysUnconfirmed => "Keys can't be confirmed now",
             Self::UndeclaredPath => "The service declares no such path",
             Self::MethodNotAllowed => "The path is not declared for this method",
             Self::MissingOrganisation => "The Sycamorestile-Organisation header is missing",
--- /dev/null
+++ b/crates/gateway/src/cx.rs
@@ -0,0 +1,81 @@
+//! What the traffic thread's tasks share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use slog::Logger;
+use sycamorestile_core::direct::{placement, retry_share};
+use tokio::sync::watch;
+
+use crate::dialect;
+use crate::metrics;
+use crate::pool;
+use crate::settings;
+use crate::snapshot;
+
+/// Shared by the tasks of the traffic thread. Borrows never last over an await.
+pub(crate) struct Cx {
+    pub(crate) settings: settings::Settings,
+    pub(crate) dialect: dialect::Dialect,
+    pub(crate) snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
+    pub(crate) placement: RefCell<placement::Placement>,
+    /// Sorted by service.
+    pub(crate) retries: RefCell<Vec<(Arc<str>, retry_share::RetryShare)>>,
+    pub(crate) pool: pool::Pool,
+    pub(crate) rng: RefCell<ChaCha8Rng>,
+    pub(crate) metrics: metrics::Metrics,
+    /// Requests that were read and whose answers are not yet written.
+    pub(crate) in_flight: Cell<usize>,
+    /// Set once the process was told to stop.
+    pub(crate) leaving: watch::Receiver<bool>,
+    pub(crate) log: Logger,
+}
+
+impl Cx {
+    pub(crate) fn snapshot(&self) -> Arc<snapshot::Snapshot> {
+        Arc::clone(&self.snapshots.borrow())
+    }
+
+    /// A random number from 0 to 1.
+    pub(crate) fn chance(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// Runs `f` on the retry share of `service`.
+    pub(crate) fn with_retries<F, R>(&self, service: &Arc<str>, f: F) -> R
+    where
+        F: FnOnce(&mut retry_share::RetryShare) -> R,
+    {
+        let mut shares = self.retries.borrow_mut();
+        let at = match shares.binary_search_by(|(s, _)| s.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let share = retry_share::RetryShare::new(self.settings.retries);
+                shares.insert(at, (Arc::clone(service), share));
+                at
+            }
+        };
+        f(&mut shares[at].1)
+    }
+}
+
+/// Counts a request as in flight until it is dropped.
+pub(crate) struct InFlight {
+    cx: Rc<Cx>,
+}
+
+impl InFlight {
+    pub(crate) fn begin(cx: &Rc<Cx>) -> Self {
+        cx.in_flight.set(cx.in_flight.get() + 1);
+        Self { cx: Rc::clone(cx) }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.cx.in_flight.set(self.cx.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/feed.rs
@@ -0,0 +1,169 @@
+//! Follows one topic of the table.
+//!
+//! A feed begins with a full read and goes on from that read's version. Whatever puts the sequence of changes in doubt
+//! (lost history, an unreadable answer) leads to a full read again.
+
+use std::time::Duration;
+
+use slog::{Logger, info, warn};
+use sycamorestile_core::time;
+use tokio::sync::mpsc;
+use tokio::time as timer;
+
+use crate::boot_clock;
+use crate::port;
+use crate::table_client;
+
+/// Time-out of a call, beyond the time that it asks the table to wait. A slow table takes a quarter of a second.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Pause after the first failed call; doubles up to [`MAX_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause: declarations must be in force soon after the table's return.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+
+/// What a feed reports.
+#[derive(Debug)]
+pub(crate) enum FeedEvent {
+    /// All rows, as of the answer to a call sent at `sent`.
+    Whole {
+        /// When the call was sent.
+        sent: time::Time,
+        /// The rows.
+        rows: Vec<port::Row>,
+    },
+    /// Changes, perhaps none, as of the answer to a call sent at `sent`.
+    Changes {
+        /// When the call was sent.
+        sent: time::Time,
+        /// The changes in order.
+        rows: Vec<port::Row>,
+    },
+    /// The table stopped answering.
+    Lost,
+    /// The table answers again.
+    Regained,
+}
+
+/// How a feed is paced.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pace {
+    /// Time that the table is asked to wait for a change.
+    pub(crate) wait: Duration,
+    /// Pause after an answer that holds changes, which lets more of them gather for the next.
+    pub(crate) gather: Duration,
+}
+
+/// Follows `topic` until the receiver is gone.
+pub(crate) async fn follow(
+    topic: port::Topic,
+    port: port::Port,
+    mut client: table_client::TableClient,
+    pace: Pace,
+    tx: mpsc::Sender<(port::Topic, FeedEvent)>,
+    log: Logger,
+) {
+    let mut version = None;
+    let mut pause = FIRST_PAUSE;
+    let mut lost = false;
+    loop {
+        let sent = boot_clock::now();
+        let answered = match version {
+            None => read_whole(topic, &port, &mut client).await,
+            Some(after) => read_changes(topic, &port, &mut client, after, pace.wait).await,
+        };
+        let page = match answered {
+            Ok(page) => page,
+            Err(e) => {
+                if e.is_history_lost(&port) {
+                    info!(log, "history of the table is gone, reading it whole"; "topic" => topic.as_str(), "after" => version);
+                    version = None;
+                    continue;
+                }
+                if matches!(e, FeedError::Unreadable(_)) {
+                    version = None;
+                }
+                if !lost {
+                    warn!(log, "table lost"; "topic" => topic.as_str(), "addr" => %client.addr(), "error" => %e);
+                    lost = true;
+                    if tx.send((topic, FeedEvent::Lost)).await.is_err() {
+                        return;
+                    }
+                }
+                timer::sleep(pause).await;
+                pause = (pause * 2).min(MAX_PAUSE);
+                continue;
+            }
+        };
+        pause = FIRST_PAUSE;
+        if lost {
+            info!(log, "table regained"; "topic" => topic.as_str(), "version" => page.version);
+            lost = false;
+            if tx.send((topic, FeedEvent::Regained)).await.is_err() {
+                return;
+            }
+        }
+        let changed = !page.rows.is_empty();
+        let event = match version {
+            None => FeedEvent::Whole { sent, rows: page.rows },
+            Some(_) => FeedEvent::Changes { sent, rows: page.rows },
+        };
+        version = Some(page.version.max(version.unwrap_or_default()));
+        if tx.send((topic, event)).await.is_err() {
+            return;
+        }
+        if changed {
+            timer::sleep(pace.gather).await;
+        }
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+enum FeedError {
+    #[error(transparent)]
+    Call(#[from] table_client::CallError),
+    #[error(transparent)]
+    Unreadable(#[from] port::Unreadable),
+}
+
+impl FeedError {
+    fn is_history_lost(&self, port: &port::Port) -> bool {
+        matches!(self, Self::Call(table_client::CallError::Refused(status)) if status.as_u16() == port.history_lost)
+    }
+}
+
+async fn read_whole(
+    topic: port::Topic,
+    port: &port::Port,
+    client: &mut table_client::TableClient,
+) -> Result<port::Page, FeedError> {
+    let mut whole = port::Page::default();
+    let mut after: Option<String> = None;
+    loop {
+        let body = client.get(&(port.read)(topic, after.as_deref()), CALL_TIMEOUT).await?;
+        let page = (port.page)(&body)?;
+        // The feed goes on from the first page's version, so that changes between two pages are not missed.
+        if after.is_none() {
+            whole.version = page.version;
+        }
+        after = page.rows.last().map(|row| row.key.as_ref().to_owned());
+        let more = page.has_more && after.is_some();
+        whole.rows.extend(page.rows);
+        if !more {
+            return Ok(whole);
+        }
+    }
+}
+
+async fn read_changes(
+    topic: port::Topic,
+    port: &port::Port,
+    client: &mut table_client::TableClient,
+    after: u64,
+    wait: Duration,
+) -> Result<port::Page, FeedError> {
+    let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    let body = client
+        .get(&(port.follow)(topic, after, wait_ms), wait + CALL_TIMEOUT)
+        .await?;
+    Ok((port.page)(&body)?)
+}
--- /dev/null
+++ b/crates/gateway/src/idle_watch.rs
@@ -0,0 +1,148 @@
+//! Bounds how long a caller's connection stays idle or takes to send a request head.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Instant;
+
+/// What a connection does.
+#[derive(Debug)]
+struct State {
+    /// Requests being answered.
+    busy: Cell<u32>,
+    /// When the first byte after the last request came.
+    head_since: Cell<Option<Instant>>,
+    /// When the last answer was written, or the connection opened.
+    idle_since: Cell<Instant>,
+}
+
+/// Watches one connection.
+#[derive(Debug, Clone)]
+pub(crate) struct IdleWatch {
+    state: Rc<State>,
+}
+
+/// What is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Due {
+    /// Nothing before this time.
+    Later(Instant),
+    /// The connection was idle for too long.
+    Idle,
+    /// A request head took too long.
+    SlowHead,
+}
+
+impl IdleWatch {
+    pub(crate) fn new() -> Self {
+        let state = State {
+            busy: Cell::new(0),
+            head_since: Cell::new(None),
+            idle_since: Cell::new(Instant::now()),
+        };
+        Self { state: Rc::new(state) }
+    }
+
+    /// A request head was read.
+    pub(crate) fn begin(&self) -> Busy {
+        self.state.head_since.set(None);
+        self.state.busy.set(self.state.busy.get() + 1);
+        Busy {
+            state: Rc::clone(&self.state),
+        }
+    }
+
+    /// What is due under these limits.
+    pub(crate) fn due(&self, head_timeout: Duration, idle_timeout: Duration) -> Due {
+        let now = Instant::now();
+        if self.state.busy.get() > 0 {
+            return Due::Later(now + idle_timeout);
+        }
+        if let Some(since) = self.state.head_since.get() {
+            let end = since + head_timeout;
+            return if end <= now { Due::SlowHead } else { Due::Later(end) };
+        }
+        let end = self.state.idle_since.get() + idle_timeout;
+        // A head may begin at any time, and its own bound counts from then.
+        if end <= now {
+            Due::Idle
+        } else {
+            Due::Later(end.min(now + head_timeout))
+        }
+    }
+}
+
+/// A request is being answered until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Busy {
+    state: Rc<State>,
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.state.busy.set(self.state.busy.get() - 1);
+        self.state.idle_since.set(Instant::now());
+    }
+}
+
+/// A connection whose reads are noted.
+#[derive(Debug)]
+pub(crate) struct WatchedIo<S> {
+    inner: S,
+    watch: IdleWatch,
+}
+
+impl<S> WatchedIo<S> {
+    pub(crate) fn new(inner: S, watch: IdleWatch) -> Self {
+        Self { inner, watch }
+    }
+}
+
+impl<S> AsyncRead for WatchedIo<S>
+where
+    S: AsyncRead + Unpin,
+{
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let state = &self.watch.state;
+        if buf.filled().len() > before && state.busy.get() == 0 && state.head_since.get().is_none() {
+            state.head_since.set(Some(Instant::now()));
+        }
+        polled
+    }
+}
+
+impl<S> AsyncWrite for WatchedIo<S>
+where
+    S: AsyncWrite + Unpin,
+{
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,46 @@
+//! Entry that calls endpoints directly.
+//!
+//! # Architecture
+//!
+//! The traffic thread accepts callers and calls endpoints; each caller's connection and each stream is a task on it.
+//! The control thread follows the platform's table, owns the blackboard of declarations and endpoints, and publishes a
+//! [`snapshot`] of it. Traffic reads the newest snapshot and never waits for control.
+//!
+//! ```text
+//! caller ─HTTP─► server ─► handle ─► drive ─► pool ─HTTP─► endpoint
+//!                             │        │ relay, placement
+//!                  snapshot ◄─┘        └─► stream
+//!                     ▲                         peers ◄─UDP─► other gateways
+//!        control ─────┘
+//!           ▲
+//!          feed ─HTTP─► platform's table
+//! ```
+//!
+//! Names and formats of the platform come in as plain functions: [`dialect`] for callers' and endpoints' headers,
+//! [`port`] for the table. Decisions are those of `sycamorestile_core::direct`.
+
+pub mod boot_clock;
+mod control;
+mod cx;
+pub mod dialect;
+mod drive;
+mod error;
+mod feed;
+mod handle;
+mod idle_watch;
+pub mod log;
+mod metrics;
+mod pages;
+mod peers;
+mod pool;
+pub mod port;
+mod refuse;
+mod run;
+mod server;
+pub mod settings;
+mod snapshot;
+mod stream;
+mod table_client;
+
+pub use error::GatewayError;
+pub use run::run;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,130 @@
+//! Counters and latency histograms of a gateway.
+
+use std::cell::RefCell;
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Organisations that get a label of their own; the rest share [`OTHER`].
+const MAX_ORGANISATIONS: usize = 50;
+/// Label of all further organisations.
+const OTHER: &str = "other";
+/// Label of requests without an organisation.
+const NONE: &str = "none";
+/// Bounds of the latency histograms, in seconds.
+const SECONDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0];
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Labels {
+    organisation: String,
+    kind: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    status: u16,
+    reason: String,
+}
+
+/// The metrics.
+pub(crate) struct Metrics {
+    registry: Registry,
+    first_byte: Family<Labels, Histogram, fn() -> Histogram>,
+    whole: Family<Labels, Histogram, fn() -> Histogram>,
+    outcomes: Family<OutcomeLabels, Counter>,
+    repeats: Counter,
+    connects: Counter,
+    organisations: RefCell<Vec<Arc<str>>>,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(SECONDS)
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("sycamorestile_gateway");
+        let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
+        let whole = Family::new_with_constructor(histogram as fn() -> Histogram);
+        let outcomes = Family::<OutcomeLabels, Counter>::default();
+        let (repeats, connects) = (Counter::default(), Counter::default());
+        registry.register(
+            "first_byte_seconds",
+            "Time to the first byte of an answer",
+            first_byte.clone(),
+        );
+        registry.register("whole_seconds", "Time to the end of an answer", whole.clone());
+        registry.register("requests", "Requests by status and reason", outcomes.clone());
+        registry.register("repeated_sends", "Requests sent to a further endpoint", repeats.clone());
+        registry.register("connects", "Connections opened to endpoints", connects.clone());
+        Self {
+            registry,
+            first_byte,
+            whole,
+            outcomes,
+            repeats,
+            connects,
+            organisations: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn first_byte(&self, organisation: Option<&Arc<str>>, kind: &str, took: Duration) {
+        let labels = self.labels(organisation, kind);
+        self.first_byte.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn whole(&self, organisation: Option<&Arc<str>>, kind: &str, took: Duration) {
+        let labels = self.labels(organisation, kind);
+        self.whole.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn outcome(&self, status: u16, reason: &str) {
+        let labels = OutcomeLabels {
+            status,
+            reason: reason.to_owned(),
+        };
+        self.outcomes.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn repeat(&self) {
+        self.repeats.inc();
+    }
+
+    pub(crate) fn connect(&self) {
+        self.connects.inc();
+    }
+
+    /// All metrics in the text format.
+    pub(crate) fn text(&self) -> String {
+        let mut buf = String::new();
+        // Writing to a string does not fail.
+        let _written = text::encode(&mut buf, &self.registry);
+        buf
+    }
+
+    fn labels(&self, organisation: Option<&Arc<str>>, kind: &str) -> Labels {
+        let organisation = organisation.map_or(NONE, |name| self.label(name));
+        Labels {
+            organisation: organisation.to_owned(),
+            kind: kind.to_owned(),
+        }
+    }
+
+    fn label<'a>(&self, name: &'a Arc<str>) -> &'a str {
+        let mut known = self.organisations.borrow_mut();
+        match known.binary_search(name) {
+            Ok(_) => name,
+            Err(at) if known.len() < MAX_ORGANISATIONS => {
+                known.insert(at, Arc::clone(name));
+                name
+            }
+            Err(_) => OTHER,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pages.rs
@@ -0,0 +1,38 @@
+//! Readiness, health and metrics pages.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::boot_clock;
+use crate::cx;
+use crate::stream;
+
+/// Answers one request of the pages address.
+pub(crate) fn answer(cx: &Rc<cx::Cx>, req: &Request<Incoming>) -> Response<stream::AnswerBody> {
+    let (status, text) = match req.uri().path() {
+        "/readyz" if is_ready(cx) => (StatusCode::OK, "ready\n".to_owned()),
+        "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        "/healthz" => (StatusCode::OK, "alive\n".to_owned()),
+        "/metrics" => (StatusCode::OK, cx.metrics.text()),
+        _ => (StatusCode::NOT_FOUND, "see /readyz, /healthz, /metrics\n".to_owned()),
+    };
+    let mut response = Response::new(stream::AnswerBody::whole(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// Whether new callers should come here: there are declarations and endpoints, keys can be honoured, and the process is
+/// not leaving.
+pub(crate) fn is_ready(cx: &cx::Cx) -> bool {
+    let snapshot = cx.snapshot();
+    let fresh = snapshot.freshness.allows_keys(boot_clock::now(), key_bound(cx));
+    snapshot.declared.is_some() && snapshot.endpoints_known && fresh && !*cx.leaving.borrow()
+}
+
+/// Time within which a key must have been confirmed.
+pub(crate) fn key_bound(cx: &cx::Cx) -> Duration {
+    cx.settings.revocation
+}
--- /dev/null
+++ b/crates/gateway/src/port.rs
@@ -0,0 +1,86 @@
+//! Port to a versioned table with a change feed.
+//!
+//! The platform's adapter and the tests' stand-in fill the same table of functions with their calls and formats.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use sycamorestile_core::direct::{declarations, endpoint};
+use thiserror::Error;
+
+/// What a gateway follows in the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Topic {
+    /// Routes, services, keys and limits.
+    Declarations,
+    /// Entries that endpoints keep of themselves.
+    Endpoints,
+    /// Rows in which gateways tell each other where they are.
+    Gateways,
+}
+
+impl Topic {
+    /// Name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Declarations => "declarations",
+            Self::Endpoints => "endpoints",
+            Self::Gateways => "gateways",
+        }
+    }
+}
+
+/// A row or its removal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Key of the row.
+    pub key: Arc<str>,
+    /// `None` when the row was removed.
+    pub value: Option<Bytes>,
+    /// Version of the row; grows with each write.
+    pub version: u64,
+}
+
+/// Rows of one answer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The rows, or the changes in order.
+    pub rows: Vec<Row>,
+    /// Newest version of the table; the feed goes on from here.
+    pub version: u64,
+    /// Whether a read has more rows than this page.
+    pub has_more: bool,
+}
+
+/// Something from the table that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{what} can't be read: {reason}")]
+pub struct Unreadable {
+    /// What it is.
+    pub what: &'static str,
+    /// What the codec says.
+    pub reason: String,
+}
+
+/// The table of functions.
+#[derive(Debug, Clone, Copy)]
+pub struct Port {
+    /// Path and query that reads a topic's rows after a key.
+    pub read: fn(Topic, Option<&str>) -> String,
+    /// Path and query that waits up to so many milliseconds for changes after a version.
+    pub follow: fn(Topic, u64, u64) -> String,
+    /// Path of the call that writes a row unconditionally.
+    pub write_path: &'static str,
+    /// Body of that call.
+    pub write: fn(Topic, &str, &[u8]) -> Vec<u8>,
+    /// Status that says that the history asked for is gone.
+    pub history_lost: u16,
+    /// Reads an answer of `read` and `follow`.
+    pub page: fn(&[u8]) -> Result<Page, Unreadable>,
+    /// Key of the row that holds the declarations.
+    pub declarations_key: &'static str,
+    /// Reads the declarations.
+    pub declarations: fn(&[u8]) -> Result<declarations::Declarations, Unreadable>,
+    /// Reads an endpoint's entry, given its key.
+    pub endpoint: fn(&str, &[u8]) -> Result<endpoint::Endpoint, Unreadable>,
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,123 @@
+//! Runs a gateway until it is told to stop.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+use slog::{Logger, info, warn};
+use sycamorestile_core::direct::placement;
+use tokio::net::UdpSocket;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time;
+
+use crate::control;
+use crate::cx;
+use crate::dialect;
+use crate::error;
+use crate::handle;
+use crate::metrics;
+use crate::peers;
+use crate::pool;
+use crate::port;
+use crate::server;
+use crate::settings;
+use crate::snapshot;
+
+/// Time for which a leaving gateway goes on accepting: the balancer asks once a second and takes two misses to stop
+/// sending new connections.
+const ACCEPT_ON: Duration = Duration::from_millis(2_600);
+/// Part of the grace at its end that is left for closing.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// Interval at which a leaving gateway looks whether it is done.
+const LEAVE_POLL: Duration = Duration::from_millis(50);
+
+/// Runs a gateway with the platform's `dialect` and `port` until SIGTERM, and gives back once nothing is in flight.
+///
+/// # Errors
+///
+/// [`error::GatewayError`] when an address can't be listened on or a thread can't be started.
+pub fn run(
+    settings: settings::Settings,
+    dialect: dialect::Dialect,
+    port: port::Port,
+    log: Logger,
+) -> Result<(), error::GatewayError> {
+    let failed = |source| error::GatewayError::Thread {
+        what: "traffic",
+        source,
+    };
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
+    let snapshots = control::start(settings.clone(), port, log.clone())?;
+    LocalSet::new().block_on(&runtime, traffic(settings, dialect, snapshots, log))
+}
+
+async fn traffic(
+    settings: settings::Settings,
+    dialect: dialect::Dialect,
+    snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
+    log: Logger,
+) -> Result<(), error::GatewayError> {
+    let callers = server::bind("callers", settings.callers)?;
+    let page_listener = server::bind("pages", settings.pages)?;
+    let (leave, leaving) = watch::channel(false);
+    let peers_addr = settings.peers;
+    let cx = Rc::new(cx::Cx {
+        settings,
+        dialect,
+        snapshots,
+        placement: RefCell::new(placement::Placement::default()),
+        retries: RefCell::default(),
+        pool: pool::Pool::default(),
+        rng: RefCell::new(rand::make_rng::<ChaCha8Rng>()),
+        metrics: metrics::Metrics::new(),
+        in_flight: Cell::new(0),
+        leaving,
+        log,
+    });
+    let bind = |source| error::GatewayError::Bind {
+        what: "peers",
+        addr: peers_addr,
+        source,
+    };
+    let socket = UdpSocket::bind(peers_addr).await.map_err(bind)?;
+    tokio::task::spawn_local(peers::run(Rc::clone(&cx), socket));
+    tokio::task::spawn_local(server::accept(Rc::clone(&cx), callers, handle::handle));
+    tokio::task::spawn_local(server::accept(Rc::clone(&cx), page_listener, handle::handle_page));
+    info!(cx.log, "gateway started"; "instance" => cx.settings.instance.as_ref(),
+        "failure_domain" => cx.settings.failure_domain.as_ref(), "callers" => %cx.settings.callers,
+        "table" => %cx.settings.table);
+    wait_for_stop(&cx).await?;
+    leave.send_replace(true);
+    drain(&cx).await;
+    info!(cx.log, "gateway left"; "in_flight" => cx.in_flight.get());
+    Ok(())
+}
+
+async fn wait_for_stop(cx: &cx::Cx) -> Result<(), error::GatewayError> {
+    let failed = error::GatewayError::Signals;
+    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => warn!(cx.log, "settings take effect at the next start"),
+        }
+    }
+}
+
+/// Goes on serving until the balancer has looked away and nothing is in flight, but no longer than the grace allows.
+async fn drain(cx: &cx::Cx) {
+    info!(cx.log, "gateway leaving"; "in_flight" => cx.in_flight.get());
+    let end = time::Instant::now() + cx.settings.stop_grace.saturating_sub(END_MARGIN);
+    time::sleep(ACCEPT_ON).await;
+    while cx.in_flight.get() > 0 && time::Instant::now() < end {
+        time::sleep(LEAVE_POLL).await;
+    }
+}
