--- /dev/null
+++ b/crates/expert-map/src/group_planner.rs
@@ -0,0 +1,158 @@
+//! Plans the maps of a whole group, set by set, from counts that ranks report.
+//!
+//! The load it answers: demand for experts that shifts every few seconds. Recent counts weigh most, and a new map is
+//! proposed only when its smaller skew is worth the experts to be copied.
+
+use std::time::Duration;
+
+use crate::expert;
+use crate::rebalance;
+use crate::time_constant;
+
+/// Time over which counts are averaged. Longer averages lag behind shifts, shorter ones follow single prompts.
+const AVERAGING: Duration = Duration::from_millis(900);
+/// Fall of one set's skew that pays for one copied expert.
+const PRICE_OF_COPY: f64 = 0.006;
+/// Least fall of the mean skew that is worth a switch, which slows the group while experts are copied.
+const LEAST_FALL: f64 = 0.05;
+
+/// Size of a group's maps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GroupShape {
+    /// Ranks.
+    pub ranks: usize,
+    /// Sets of layers with a map each.
+    pub sets: usize,
+    /// Experts of a set.
+    pub experts: usize,
+    /// Bounds of each set's map.
+    pub bounds: rebalance::Bounds,
+}
+
+/// Maps of all sets.
+pub type GroupMap = Vec<rebalance::Placement>;
+
+/// Counts of one rank, as last reported.
+#[derive(Debug, Clone, Default)]
+struct RankCounts {
+    /// When the rank was started, which begins its counts anew.
+    born: u64,
+    counts: Vec<u64>,
+}
+
+/// Averages of a group's expert loads.
+#[derive(Debug, Clone)]
+pub struct GroupPlanner {
+    shape: GroupShape,
+    ranks: Vec<RankCounts>,
+    /// Averaged loads, set by set; no unit.
+    loads: Vec<f64>,
+    /// Counts that came since the last fold.
+    fresh: Vec<f64>,
+}
+
+/// A plan.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// The maps.
+    pub map: GroupMap,
+    /// Mean skew of the map in force under the averaged loads.
+    pub skew_before: f64,
+    /// The same of the new one.
+    pub skew_after: f64,
+    /// Experts to be copied.
+    pub copies: usize,
+}
+
+impl GroupPlanner {
+    /// A planner that knows no loads.
+    pub fn new(shape: GroupShape) -> Self {
+        let total = shape.sets * shape.experts;
+        Self {
+            shape,
+            ranks: vec![RankCounts::default(); shape.ranks],
+            loads: vec![0.0; total],
+            fresh: vec![0.0; total],
+        }
+    }
+
+    /// The group's size.
+    pub fn shape(&self) -> GroupShape {
+        self.shape
+    }
+
+    /// Takes the counts of one rank, which grow from its start at `born`.
+    pub fn observe(&mut self, rank: usize, born: u64, counts: &[u64]) {
+        if counts.len() != self.fresh.len() || rank >= self.ranks.len() {
+            return;
+        }
+        let known = &mut self.ranks[rank];
+        // Counts from before this planner looked tell nothing about now.
+        if known.born == born && known.counts.len() == counts.len() {
+            for (fresh, (now, then)) in self.fresh.iter_mut().zip(counts.iter().zip(&known.counts)) {
+                *fresh += now.saturating_sub(*then) as f64;
+            }
+        }
+        known.born = born;
+        known.counts = counts.to_vec();
+    }
+
+    /// Folds the counts of the last `period` into the averages.
+    pub fn fold(&mut self, period: Duration) {
+        let keep = time_constant::keep(period, AVERAGING);
+        for (load, fresh) in self.loads.iter_mut().zip(&mut self.fresh) {
+            *load = *load * keep + *fresh;
+            *fresh = 0.0;
+        }
+    }
+
+    /// Whether any load is known.
+    pub fn knows_loads(&self) -> bool {
+        self.loads.iter().any(|load| *load > 0.0)
+    }
+
+    /// Mean skew of `map`.
+    pub fn skew(&self, map: &GroupMap) -> f64 {
+        let skews = map
+            .iter()
+            .enumerate()
+            .map(|(set, placement)| placement.skew(self.set_loads(set)));
+        skews.sum::<f64>() / self.shape.sets.max(1) as f64
+    }
+
+    /// A better map than `current`, if one is worth its copies.
+    pub fn plan(&self, current: &GroupMap) -> Option<Plan> {
+        if !self.knows_loads() || current.len() != self.shape.sets {
+            return None;
+        }
+        let placements = current.iter().enumerate();
+        let map: GroupMap = placements
+            .map(|(set, p)| rebalance::rebalance(p, self.set_loads(set), self.shape.bounds, PRICE_OF_COPY))
+            .collect();
+        let (skew_before, skew_after) = (self.skew(current), self.skew(&map));
+        let copies = map.iter().zip(current).map(|(new, old)| new.copies_from(old)).sum();
+        (skew_before - skew_after >= LEAST_FALL).then_some(Plan {
+            map,
+            skew_before,
+            skew_after,
+            copies,
+        })
+    }
+
+    fn set_loads(&self, set: usize) -> &[f64] {
+        let experts = self.shape.experts;
+        self.loads.get(set * experts..(set + 1) * experts).unwrap_or_default()
+    }
+}
+
+/// The maps that ranks report: for each rank, its experts by set.
+pub fn from_lists(lists: &[Vec<Vec<u32>>], sets: usize) -> GroupMap {
+    let set_of = |set: usize| {
+        let ranks = lists.iter().map(|by_set| {
+            let experts = by_set.get(set).map(Vec::as_slice).unwrap_or_default();
+            experts.iter().map(|e| expert::Expert(*e)).collect()
+        });
+        rebalance::Placement::new(ranks.collect())
+    };
+    (0..sets).map(set_of).collect()
+}
--- a/crates/expert-map/src/lib.rs
+++ b/crates/expert-map/src/lib.rs
@@ -11,12 +11,17 @@
 pub mod baseline;
 pub mod expert;
 pub mod forecast;
+pub mod group_planner;
+pub mod held_switch;
 pub mod layout;
+pub mod leadership;
 pub mod loads;
 pub mod planner;
+pub mod rebalance;
 pub mod replay;
 pub mod search;
 pub mod shape;
 pub mod switch;
+pub mod time_constant;
 pub mod trace;
 pub mod weights;
--- /dev/null
+++ b/crates/expert-map/src/rebalance.rs
@@ -0,0 +1,264 @@
+//! Rebalances one set of experts whose ranks hold up to a bounded number each, by the fewest copies that buy the most.
+//!
+//! Unlike [`planner`](crate::planner), which fills every slot of a fixed layout, this serves engines that start with free
+//! places, and that copy at most so many new experts to a rank at once. A larger change takes several maps.
+//!
+//! The load it answers: a few hot experts that change every few seconds, on ranks that step together, so that the most
+//! loaded rank sets the pace.
+
+use crate::expert;
+
+/// Bounds of one new map.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Most experts of the set that a rank holds.
+    pub places: usize,
+    /// Most experts that are new to a rank in one map.
+    pub new_per_rank: usize,
+}
+
+/// Which rank holds which experts of one set.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// Experts of each rank, sorted, without repetition.
+    ranks: Vec<Vec<expert::Expert>>,
+}
+
+impl Placement {
+    /// A placement from each rank's experts.
+    pub fn new(mut ranks: Vec<Vec<expert::Expert>>) -> Self {
+        for held in &mut ranks {
+            held.sort_unstable();
+            held.dedup();
+        }
+        Self { ranks }
+    }
+
+    /// Experts of each rank, sorted.
+    pub fn ranks(&self) -> &[Vec<expert::Expert>] {
+        &self.ranks
+    }
+
+    /// Whether `rank` holds `expert`.
+    pub fn holds(&self, rank: usize, expert: expert::Expert) -> bool {
+        self.ranks[rank].binary_search(&expert).is_ok()
+    }
+
+    /// Ranks that hold each of `experts` experts.
+    pub fn holders(&self, experts: usize) -> Vec<Vec<usize>> {
+        let mut holders = vec![Vec::new(); experts];
+        for (rank, held) in self.ranks.iter().enumerate() {
+            for expert in held {
+                if let Some(list) = holders.get_mut(expert.index()) {
+                    list.push(rank);
+                }
+            }
+        }
+        holders
+    }
+
+    /// Load of each rank when an expert's load is shared evenly by its holders.
+    pub fn rank_loads(&self, loads: &[f64]) -> Vec<f64> {
+        let holders = self.holders(loads.len());
+        let share = |e: &expert::Expert| loads[e.index()] / holders[e.index()].len() as f64;
+        self.ranks.iter().map(|held| held.iter().map(share).sum()).collect()
+    }
+
+    /// Largest rank load over the mean one; 1 when there is no load.
+    pub fn skew(&self, loads: &[f64]) -> f64 {
+        let ranks = self.rank_loads(loads);
+        let mean = ranks.iter().sum::<f64>() / ranks.len().max(1) as f64;
+        let largest = ranks.iter().copied().fold(0.0, f64::max);
+        if mean > 0.0 { largest / mean } else { 1.0 }
+    }
+
+    /// Experts that ranks hold here and not in `before`.
+    pub fn copies_from(&self, before: &Self) -> usize {
+        let new =
+            |(rank, held): (usize, &Vec<expert::Expert>)| held.iter().filter(|e| !before.holds(rank, **e)).count();
+        self.ranks.iter().enumerate().map(new).sum()
+    }
+}
+
+/// One change of the map. A rank that has no free place gives up an expert that others hold too.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    expert: expert::Expert,
+    /// Takes the expert.
+    to: usize,
+    /// Gives the expert up, when it is moved and not replicated.
+    from: Option<usize>,
+    /// Goes from `to`: to `from` when both are there and it has no other holder, else away.
+    gone: Option<expert::Expert>,
+}
+
+/// Width over which the maximum of the rank loads is smoothed, in multiples of the mean.
+const WIDTH: f64 = 0.04;
+/// Most loaded ranks that are looked at for each change.
+const HOT_RANKS: usize = 2;
+
+struct Search<'a> {
+    loads: Vec<f64>,
+    before: &'a Placement,
+    placement: Placement,
+    /// Ranks that hold each expert.
+    holders: Vec<Vec<usize>>,
+    /// Load of each rank in multiples of the mean.
+    ranks: Vec<f64>,
+    bounds: Bounds,
+}
+
+/// A new map from `before` for the experts' `loads`. `price` is the fall of the skew that pays for one copied expert.
+pub fn rebalance(before: &Placement, loads: &[f64], bounds: Bounds, price: f64) -> Placement {
+    let mean = loads.iter().sum::<f64>() / before.ranks.len().max(1) as f64;
+    if mean <= 0.0 {
+        return before.clone();
+    }
+    let loads: Vec<f64> = loads.iter().map(|load| load / mean).collect();
+    let mut search = Search {
+        holders: before.holders(loads.len()),
+        ranks: before.rank_loads(&loads),
+        placement: before.clone(),
+        loads,
+        before,
+        bounds,
+    };
+    let most = before.ranks.len() * bounds.places;
+    for _ in 0..most {
+        let Some((change, gain)) = search.best(price) else {
+            break;
+        };
+        if gain <= 0.0 {
+            break;
+        }
+        search.apply(change);
+    }
+    search.placement
+}
+
+impl Search<'_> {
+    /// The change whose gain exceeds the price of its copies by most.
+    fn best(&self, price: f64) -> Option<(Change, f64)> {
+        let mut order: Vec<usize> = (0..self.ranks.len()).collect();
+        order.sort_by(|a, b| self.ranks[*b].total_cmp(&self.ranks[*a]));
+        let mut best: Option<(Change, f64)> = None;
+        for hot in order.iter().take(HOT_RANKS) {
+            for expert in &self.placement.ranks[*hot] {
+                for to in (0..self.ranks.len()).filter(|to| !self.placement.holds(*to, *expert)) {
+                    self.offers(*expert, *hot, to, &mut |change| {
+                        let gain = self.gain(change) - price * self.copies(change) as f64;
+                        if best.is_none_or(|(_, known)| gain > known) {
+                            best = Some((change, gain));
+                        }
+                    });
+                }
+            }
+        }
+        best
+    }
+
+    fn offers<F>(&self, expert: expert::Expert, hot: usize, to: usize, consider: &mut F)
+    where
+        F: FnMut(Change),
+    {
+        let has_place = self.placement.ranks[to].len() < self.bounds.places;
+        let free = has_place.then_some(None);
+        let given_up = self.placement.ranks[to].iter().copied().map(Some);
+        for gone in free.into_iter().chain(given_up) {
+            for from in [None, Some(hot)] {
+                let change = Change { expert, to, from, gone };
+                if self.is_allowed(change) {
+                    consider(change);
+                }
+            }
+        }
+    }
+
+    fn is_swap(&self, change: Change) -> bool {
+        let only = |e: expert::Expert| self.holders[e.index()].len() < 2;
+        change.from.is_some() && change.gone.is_some_and(only)
+    }
+
+    fn is_allowed(&self, change: Change) -> bool {
+        let last_gone = change.gone.is_some_and(|gone| self.holders[gone.index()].len() < 2);
+        if last_gone && change.from.is_none() {
+            return false;
+        }
+        let back = change.from.filter(|_| self.is_swap(change)).zip(change.gone);
+        let room = |rank: usize, expert: expert::Expert| {
+            let held = &self.placement.ranks[rank];
+            let new = held.iter().filter(|e| !self.before.holds(rank, **e)).count();
+            self.before.holds(rank, expert) || new < self.bounds.new_per_rank
+        };
+        let back_fits = back.is_none_or(|(rank, expert)| !self.placement.holds(rank, expert) && room(rank, expert));
+        room(change.to, change.expert) && back_fits
+    }
+
+    fn copies(&self, change: Change) -> usize {
+        let new = |rank: usize, expert: expert::Expert| usize::from(!self.before.holds(rank, expert));
+        let back = change.from.filter(|_| self.is_swap(change)).zip(change.gone);
+        new(change.to, change.expert) + back.map_or(0, |(rank, expert)| new(rank, expert))
+    }
+
+    /// Holders of the expert, and of the one that is given up, after the change.
+    fn after(&self, change: Change) -> [Option<(expert::Expert, Vec<usize>)>; 2] {
+        let mut taken = self.holders[change.expert.index()].clone();
+        taken.retain(|rank| Some(*rank) != change.from);
+        taken.push(change.to);
+        let given = change.gone.map(|gone| {
+            let mut holders = self.holders[gone.index()].clone();
+            holders.retain(|rank| *rank != change.to);
+            if self.is_swap(change) {
+                holders.extend(change.from);
+            }
+            (gone, holders)
+        });
+        [Some((change.expert, taken)), given]
+    }
+
+    /// Fall of the smooth maximum of the rank loads.
+    fn gain(&self, change: Change) -> f64 {
+        let mut ranks = self.ranks.clone();
+        self.shift(change, &mut ranks);
+        smooth_max(&self.ranks) - smooth_max(&ranks)
+    }
+
+    fn shift(&self, change: Change, ranks: &mut [f64]) {
+        for (expert, holders) in self.after(change).into_iter().flatten() {
+            let load = self.loads[expert.index()];
+            let former = &self.holders[expert.index()];
+            for rank in former {
+                ranks[*rank] -= load / former.len() as f64;
+            }
+            for rank in &holders {
+                ranks[*rank] += load / holders.len() as f64;
+            }
+        }
+    }
+
+    fn apply(&mut self, change: Change) {
+        let mut ranks = std::mem::take(&mut self.ranks);
+        self.shift(change, &mut ranks);
+        self.ranks = ranks;
+        for (expert, holders) in self.after(change).into_iter().flatten() {
+            for held in &mut self.placement.ranks {
+                if let Ok(at) = held.binary_search(&expert) {
+                    held.remove(at);
+                }
+            }
+            for rank in &holders {
+                let held = &mut self.placement.ranks[*rank];
+                if let Err(at) = held.binary_search(&expert) {
+                    held.insert(at, expert);
+                }
+            }
+            self.holders[expert.index()] = holders;
+        }
+    }
+}
+
+fn smooth_max(ranks: &[f64]) -> f64 {
+    let largest = ranks.iter().copied().fold(0.0, f64::max);
+    let sum: f64 = ranks.iter().map(|load| ((load - largest) / WIDTH).exp()).sum();
+    largest + WIDTH * sum.ln()
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,13 +11,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time as timer;
 
-use crate::boot_clock;
 use crate::error;
-use crate::feed;
-use crate::port;
 use crate::settings;
 use crate::snapshot;
-use crate::table_client;
+use sycamorestile_table::boot_clock;
+use sycamorestile_table::client;
+use sycamorestile_table::feed;
+use sycamorestile_table::port;
 
 /// Feed events that wait for the control thread.
 const QUEUE: usize = 64;
@@ -76,7 +76,7 @@
         (port::Topic::Gateways, GATEWAYS_PACE),
     ];
     for (topic, pace) in topics {
-        let client = table_client::TableClient::new(settings.table);
+        let client = client::Client::new(settings.table);
         tokio::spawn(feed::follow(topic, port, client, pace, events_tx.clone(), log.clone()));
     }
     tokio::spawn(announce(settings.clone(), port, log.clone()));
@@ -102,10 +102,10 @@
 
 /// Writes where this gateway is, so that its peers find it.
 async fn announce(settings: settings::Settings, port: port::Port, log: Logger) {
-    let mut client = table_client::TableClient::new(settings.table);
+    let mut client = client::Client::new(settings.table);
     let value = settings.peers.to_string();
     loop {
-        let body = (port.write)(port::Topic::Gateways, &settings.instance, value.as_bytes());
+        let body = (port.write)(port::Topic::Gateways, &settings.instance, value.as_bytes(), None);
         match client.post(port.write_path, body, ANNOUNCE_TIMEOUT).await {
             Ok(_) => return,
             Err(e) => warn!(log, "own row not written, trying again"; "error" => %e),
@@ -161,6 +161,8 @@
                 self.find_gateways(&rows);
             }
             (port::Topic::Gateways, feed::FeedEvent::Changes { rows, .. }) => self.find_gateways(&rows),
+            // Not followed here.
+            (port::Topic::MapAgents | port::Topic::Leases, _) => {}
         }
     }
 
--- a/crates/gateway/src/drive.rs
+++ b/crates/gateway/src/drive.rs
@@ -16,13 +16,13 @@
 use tokio::sync::mpsc;
 use tokio::time;
 
-use crate::boot_clock;
 use crate::cx;
 use crate::dialect;
 use crate::handle;
 use crate::pool;
 use crate::refuse;
 use crate::stream;
+use sycamorestile_table::boot_clock;
 
 /// Largest answer that is held until it is whole, in bytes.
 const MAX_WHOLE_BYTES: usize = 8 << 20;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -14,7 +14,6 @@
 use sycamorestile_core::time::Time;
 use tokio::time;
 
-use crate::boot_clock;
 use crate::cx;
 use crate::dialect;
 use crate::drive;
@@ -22,6 +21,7 @@
 use crate::pages;
 use crate::refuse;
 use crate::stream;
+use sycamorestile_table::boot_clock;
 
 /// Wait that a refusal names when the cause passes by itself: keys are confirmed again, endpoints come back.
 const SOON: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,30 +17,25 @@
 //! ```
 //!
 //! Names and formats of the platform come in as plain functions: [`dialect`] for callers' and endpoints' headers,
-//! [`port`] for the table. Decisions are those of `sycamorestile_core::direct`.
+//! `sycamorestile_table::port` for the table. Decisions are those of `sycamorestile_core::direct`.
 
-pub mod boot_clock;
 mod control;
 mod cx;
 pub mod dialect;
 mod drive;
 mod error;
-mod feed;
 mod handle;
 mod idle_watch;
-pub mod log;
 mod metrics;
 mod pages;
 mod peers;
 mod pool;
-pub mod port;
 mod refuse;
 mod run;
 mod server;
 pub mod settings;
 mod snapshot;
 mod stream;
-mod table_client;
 
 pub use error::GatewayError;
 pub use run::run;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,8 +11,8 @@
 use tokio::net::UdpSocket;
 use tokio::time;
 
-use crate::boot_clock;
 use crate::cx;
+use sycamorestile_table::boot_clock;
 
 /// Least time between two rounds.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -18,7 +18,7 @@
 use tokio::task::JoinHandle;
 use tokio::time as timer;
 
-use crate::boot_clock;
+use sycamorestile_table::boot_clock;
 
 /// Time-out of a connection attempt; endpoints are a few milliseconds away, and a lost packet is repeated after 200 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,10 +23,10 @@
 use crate::metrics;
 use crate::peers;
 use crate::pool;
-use crate::port;
 use crate::server;
 use crate::settings;
 use crate::snapshot;
+use sycamorestile_table::port;
 
 /// Time for which a leaving gateway goes on accepting: the balancer asks once a second and takes two misses to stop
 /// sending new connections.
--- /dev/null
+++ b/crates/map-agent/src/agent.rs
@@ -0,0 +1,410 @@
+//! The agent's one thread.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, info, warn};
+use sycamorestile_core::time::Time;
+use sycamorestile_expert_map::leadership;
+use sycamorestile_table::{boot_clock, client, feed, port};
+use tokio::net::UdpSocket;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio::time;
+
+use crate::coordinator;
+use crate::error;
+use crate::message;
+use crate::rank;
+use crate::rank_port;
+use crate::settings;
+
+/// Interval of a coordinator that is at rest.
+const REST: Duration = Duration::from_millis(250);
+/// Interval while a change is under way.
+const BUSY: Duration = Duration::from_millis(50);
+/// Interval at which a follower looks whether its coordinator is gone.
+const WATCH: Duration = Duration::from_millis(200);
+/// Time-out of calls that take a number.
+const LEASE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Pause after a failed try to take a number.
+const LEASE_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two tries to write this agent's own row.
+const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
+/// How the rows of other agents are followed.
+const AGENTS_PACE: feed::Pace = feed::Pace {
+    wait: Duration::from_secs(25),
+    gather: Duration::from_millis(300),
+};
+/// How the declarations are followed: sizes of maps hardly ever change.
+const DECLARATIONS_PACE: feed::Pace = feed::Pace {
+    wait: Duration::from_secs(25),
+    gather: Duration::from_secs(5),
+};
+/// Largest datagram.
+const MAX_DATAGRAM: usize = 60 << 10;
+/// Feed events that wait.
+const QUEUE: usize = 16;
+
+/// Runs an agent until SIGTERM.
+///
+/// # Errors
+///
+/// [`error::MapAgentError`] when the socket or the runtime can't be had.
+pub fn run(
+    settings: settings::Settings,
+    table: port::Port,
+    rank_port: rank_port::RankPort,
+    log: Logger,
+) -> Result<(), error::MapAgentError> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(error::MapAgentError::Runtime)?;
+    LocalSet::new().block_on(&runtime, async move {
+        let addr = settings.peers;
+        let socket = UdpSocket::bind(addr).await.map_err(|source| error::MapAgentError::Bind { addr, source })?;
+        let mut term = signal(SignalKind::terminate()).map_err(error::MapAgentError::Signals)?;
+        info!(log, "map agent started"; "instance" => settings.instance.as_ref(), "peers" => %addr, "rank" => %settings.rank);
+        tokio::select! {
+            () = Agent::new(settings, table, rank_port, socket, log.clone()).run() => {}
+            _ = term.recv() => info!(log, "map agent left"),
+        }
+        Ok(())
+    })
+}
+
+struct Agent {
+    settings: settings::Settings,
+    table: port::Port,
+    rank_port: rank_port::RankPort,
+    socket: UdpSocket,
+    rank: rank::Rank,
+    /// Other agents, and this one.
+    peers: Vec<(Arc<str>, SocketAddr)>,
+    sizes: Option<rank_port::MapSizes>,
+    leadership: leadership::Leadership,
+    /// When the coordinator was last heard.
+    heard: Time,
+    /// What the rank last reported.
+    membership: Option<rank_port::Membership>,
+    is_held: bool,
+    coordinator: Option<coordinator::Coordinator>,
+    leases: client::Client,
+    /// No number is asked for before this time.
+    lease_pause: Time,
+    log: Logger,
+}
+
+impl Agent {
+    fn new(
+        settings: settings::Settings,
+        table: port::Port,
+        rank_port: rank_port::RankPort,
+        socket: UdpSocket,
+        log: Logger,
+    ) -> Self {
+        let now = boot_clock::now();
+        Self {
+            rank: rank::Rank::new(settings.rank, rank_port, log.clone()),
+            leases: client::Client::new(settings.table),
+            settings,
+            table,
+            rank_port,
+            socket,
+            peers: Vec::new(),
+            sizes: None,
+            leadership: leadership::Leadership::default(),
+            heard: now,
+            membership: None,
+            is_held: false,
+            coordinator: None,
+            lease_pause: now,
+            log,
+        }
+    }
+
+    async fn run(mut self) {
+        let (tx, mut events) = mpsc::channel(QUEUE);
+        for (topic, pace) in [
+            (port::Topic::MapAgents, AGENTS_PACE),
+            (port::Topic::Declarations, DECLARATIONS_PACE),
+        ] {
+            let calls = client::Client::new(self.settings.table);
+            tokio::task::spawn_local(feed::follow(
+                topic,
+                self.table,
+                calls,
+                pace,
+                tx.clone(),
+                self.log.clone(),
+            ));
+        }
+        tokio::task::spawn_local(announce(self.settings.clone(), self.table, self.log.clone()));
+        let mut buf = vec![0; MAX_DATAGRAM];
+        let mut next = time::Instant::now() + WATCH;
+        loop {
+            tokio::select! {
+                event = events.recv() => {
+                    if let Some((topic, event)) = event {
+                        self.learn(topic, event);
+                    }
+                }
+                received = self.socket.recv_from(&mut buf) => match received {
+                    Ok((len, from)) => self.take(buf.get(..len).unwrap_or_default().to_vec(), from).await,
+                    Err(e) => warn!(self.log, "datagram not received"; "error" => %e),
+                },
+                () = time::sleep_until(next) => {
+                    let pause = self.tick().await;
+                    next = time::Instant::now() + pause;
+                }
+            }
+        }
+    }
+
+    fn learn(&mut self, topic: port::Topic, event: feed::FeedEvent) {
+        let rows = match event {
+            feed::FeedEvent::Whole { rows, .. } | feed::FeedEvent::Changes { rows, .. } => rows,
+            feed::FeedEvent::Lost | feed::FeedEvent::Regained => return,
+        };
+        for row in rows {
+            match topic {
+                port::Topic::MapAgents => self.learn_peer(&row),
+                port::Topic::Declarations if row.key.as_ref() == self.table.declarations_key => self.learn_sizes(&row),
+                _ => {}
+            }
+        }
+    }
+
+    fn learn_peer(&mut self, row: &port::Row) {
+        self.peers.retain(|(instance, _)| *instance != row.key);
+        let text = row.value.as_ref().and_then(|v| std::str::from_utf8(v).ok());
+        if let Some(addr) = text.and_then(|t| t.parse().ok()) {
+            // A new agent may come at the address of one that is gone.
+            self.peers.retain(|(_, known)| *known != addr);
+            self.peers.push((Arc::clone(&row.key), addr));
+        }
+    }
+
+    fn learn_sizes(&mut self, row: &port::Row) {
+        let Some(value) = &row.value else { return };
+        match (self.rank_port.sizes)(value) {
+            Ok(sizes) => self.sizes = sizes,
+            Err(e) => warn!(self.log, "declarations can't be read"; "error" => %e),
+        }
+    }
+
+    async fn take(&mut self, datagram: Vec<u8>, from: SocketAddr) {
+        let now = boot_clock::now();
+        match postcard::from_bytes::<message::Message>(&datagram) {
+            Ok(message::Message::Lead(lead)) => self.follow(lead, from, now).await,
+            Ok(message::Message::Order(order)) => self.carry_out(*order, from).await,
+            Ok(message::Message::State(state)) => {
+                if state.number > self.leadership.number {
+                    self.leadership.hear(state.number);
+                    self.step_down("an agent knows a higher number");
+                } else if let Some(coordinator) = &mut self.coordinator {
+                    coordinator.take(*state, from, now);
+                    self.give_orders(now).await;
+                }
+            }
+            Err(e) => warn!(self.log, "datagram can't be read"; "from" => %from, "error" => %e),
+        }
+    }
+
+    async fn follow(&mut self, lead: message::Lead, from: SocketAddr, now: Time) {
+        let ours = self.membership.as_ref().is_none_or(|m| m.group == lead.group);
+        if !ours || !self.leadership.hear(lead.number) {
+            return;
+        }
+        if !self.leadership.is_own {
+            self.step_down("a higher number leads");
+        }
+        self.heard = now;
+        self.tell_state(from, lead.wants_counts).await;
+    }
+
+    async fn carry_out(&mut self, order: rank_port::RankOrder, from: SocketAddr) {
+        if !self.leadership.hear(order.number) {
+            return;
+        }
+        let outdated = self.rank.order(&order).await;
+        if outdated && self.leadership.is_own {
+            self.step_down("the rank has seen a higher number");
+            self.leadership.is_own = false;
+        }
+        self.tell_state(from, false).await;
+    }
+
+    async fn tell_state(&mut self, to: SocketAddr, wants_counts: bool) {
+        if let Some(state) = self.read_state(wants_counts).await {
+            self.send(&message::Message::State(Box::new(state)), to).await;
+        }
+    }
+
+    async fn read_state(&mut self, wants_counts: bool) -> Option<message::State> {
+        match self.rank.state(self.leadership.number, wants_counts).await {
+            Ok(state) => {
+                self.membership = Some(state.membership.clone());
+                self.is_held = state.view.held.is_some();
+                Some(state)
+            }
+            Err(e) => {
+                warn!(self.log, "state of the rank not known"; "error" => %e);
+                None
+            }
+        }
+    }
+
+    fn step_down(&mut self, cause: &str) {
+        if let Some(coordinator) = self.coordinator.take() {
+            info!(self.log, "no longer coordinating"; "number" => coordinator.number(), "cause" => cause);
+        }
+    }
+
+    async fn tick(&mut self) -> Duration {
+        let now = boot_clock::now();
+        if self.membership.is_none() && self.read_state(false).await.is_none() {
+            return LEASE_PAUSE;
+        }
+        let Some(membership) = self.membership.clone() else {
+            return WATCH;
+        };
+        let silence = now.since(self.heard);
+        match self.leadership.role(membership.rank, silence, self.is_held) {
+            leadership::Role::Follow => WATCH,
+            leadership::Role::Stand if now < self.lease_pause => WATCH,
+            leadership::Role::Stand => {
+                self.stand(&membership).await;
+                BUSY
+            }
+            leadership::Role::Lead => self.lead(&membership, now).await,
+        }
+    }
+
+    /// Takes a number from the table. With the table out of reach, finishes what a lost coordinator left under its
+    /// number.
+    async fn stand(&mut self, membership: &rank_port::Membership) {
+        let taken = self.take_number(&membership.group).await;
+        let now = boot_clock::now();
+        match taken {
+            Ok(number) => {
+                self.leadership.take(number);
+                self.heard = now;
+                self.begin(membership, number, true, now);
+            }
+            Err(cause) => {
+                self.lease_pause = now + LEASE_PAUSE;
+                warn!(self.log, "number not taken"; "group" => membership.group.as_ref(), "cause" => cause);
+                if self.is_held && self.coordinator.is_none() {
+                    self.begin(membership, self.leadership.number, false, now);
+                }
+            }
+        }
+        if let Some(coordinator) = &self.coordinator {
+            let lead = self.lead_message(coordinator, now);
+            self.send_to_peers(&lead).await;
+        }
+    }
+
+    fn begin(&mut self, membership: &rank_port::Membership, number: u64, plans: bool, now: Time) {
+        let coordinator = coordinator::Coordinator::new(membership, number, plans, now, self.log.clone());
+        self.coordinator = Some(coordinator);
+    }
+
+    async fn take_number(&mut self, group: &Arc<str>) -> Result<u64, String> {
+        let read = (self.table.read)(port::Topic::Leases, None);
+        let body = self.leases.get(&read, LEASE_TIMEOUT).await.map_err(|e| e.to_string())?;
+        let page = (self.table.page)(&body).map_err(|e| e.to_string())?;
+        let known = page
+            .rows
+            .iter()
+            .find(|row| row.key == *group)
+            .map_or(0, |row| row.version);
+        let value = self.settings.instance.as_bytes();
+        let write = (self.table.write)(port::Topic::Leases, group, value, Some(known));
+        let body = self
+            .leases
+            .post(self.table.write_path, write, LEASE_TIMEOUT)
+            .await
+            .map_err(|e| e.to_string())?;
+        (self.table.written)(&body).map_err(|e| e.to_string())
+    }
+
+    async fn lead(&mut self, membership: &rank_port::Membership, now: Time) -> Duration {
+        if self.coordinator.as_ref().is_none_or(|c| c.group() != &membership.group) {
+            let number = self.leadership.number;
+            self.begin(membership, number, true, now);
+        }
+        let sizes = self.sizes;
+        let Some(coordinator) = &mut self.coordinator else {
+            return WATCH;
+        };
+        coordinator.size(sizes);
+        let busy = coordinator.is_busy();
+        let Some(coordinator) = &self.coordinator else {
+            return WATCH;
+        };
+        let lead = self.lead_message(coordinator, now);
+        self.send_to_peers(&lead).await;
+        self.give_orders(now).await;
+        if busy { BUSY } else { REST }
+    }
+
+    fn lead_message(&self, coordinator: &coordinator::Coordinator, now: Time) -> message::Message {
+        message::Message::Lead(message::Lead {
+            group: Arc::clone(coordinator.group()),
+            number: coordinator.number(),
+            wants_counts: coordinator.wants_counts(now),
+        })
+    }
+
+    async fn give_orders(&mut self, now: Time) {
+        let Some(coordinator) = &mut self.coordinator else {
+            return;
+        };
+        let orders = coordinator.orders(now);
+        let addressed = orders.into_iter().map(|o| (coordinator.address(o.due.rank), o));
+        let addressed: Vec<(Option<SocketAddr>, rank_port::RankOrder)> = addressed.collect();
+        for (addr, order) in addressed {
+            if let Some(addr) = addr {
+                self.send(&message::Message::Order(Box::new(order)), addr).await;
+            }
+        }
+    }
+
+    async fn send_to_peers(&self, message: &message::Message) {
+        for (_, addr) in &self.peers {
+            self.send(message, *addr).await;
+        }
+    }
+
+    async fn send(&self, message: &message::Message, to: SocketAddr) {
+        match postcard::to_stdvec(message) {
+            Ok(datagram) => {
+                // What is lost is asked for or ordered again.
+                if let Err(e) = self.socket.send_to(&datagram, to).await {
+                    warn!(self.log, "datagram not sent"; "to" => %to, "error" => %e);
+                }
+            }
+            Err(e) => warn!(self.log, "datagram can't be written"; "error" => %e),
+        }
+    }
+}
+
+/// Writes where this agent is, so that the others find it.
+async fn announce(settings: settings::Settings, table: port::Port, log: Logger) {
+    let mut calls = client::Client::new(settings.table);
+    let value = settings.peers.to_string();
+    loop {
+        let body = (table.write)(port::Topic::MapAgents, &settings.instance, value.as_bytes(), None);
+        match calls.post(table.write_path, body, LEASE_TIMEOUT).await {
+            Ok(_) => return,
+            Err(e) => warn!(log, "own row not written, trying again"; "error" => %e),
+        }
+        time::sleep(ANNOUNCE_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/map-agent/src/coordinator.rs
@@ -0,0 +1,293 @@
+//! The coordinator of a group: gathers states, plans, and says which orders are due.
+//!
+//! Holds no sockets: the agent feeds it states and sends what it gives back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, info};
+use sycamorestile_core::time::Time;
+use sycamorestile_expert_map::{group_planner, held_switch, rebalance};
+
+use crate::message;
+use crate::rank_port;
+
+/// Age at which a rank's state no longer counts.
+const STATE_LIFE: Duration = Duration::from_millis(1_500);
+/// Time after which an order that shows no effect is given again.
+const REPEAT: Duration = Duration::from_millis(300);
+/// Time for which a map is pursued before a new one is planned instead.
+const GOAL_LIFE: Duration = Duration::from_secs(6);
+/// Interval at which counts are folded and plans are made.
+const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+/// Time from a hold to the pass that it holds, in which all ranks are to be armed.
+const LEAD_TIME: Duration = Duration::from_millis(250);
+/// Fewest passes between a hold and its pass.
+const MIN_LEAD: u64 = 4;
+/// Passes a second before any were seen.
+const FIRST_PACE: f64 = 20.0;
+/// Versions that one coordinator's number has room for.
+const VERSIONS_PER_NUMBER: u64 = 4_096;
+
+struct Known {
+    state: message::State,
+    /// Where its agent is.
+    from: SocketAddr,
+    at: Time,
+}
+
+struct Goal {
+    goal: held_switch::Goal,
+    map: rank_port::ExpertLists,
+    since: Time,
+}
+
+struct Sent {
+    due: held_switch::Due,
+    at: Time,
+}
+
+/// The coordinator's blackboard.
+pub(crate) struct Coordinator {
+    group: Arc<str>,
+    number: u64,
+    /// Maps made under this number.
+    made: u64,
+    /// Whether it may begin changes, and not only finish them.
+    plans: bool,
+    ranks: Vec<Option<Known>>,
+    sizes: Option<rank_port::MapSizes>,
+    planner: Option<group_planner::GroupPlanner>,
+    planned: Time,
+    goal: Option<Goal>,
+    sent: Vec<Sent>,
+    /// Pass and time of the last look at the pace.
+    pace_from: Option<(u64, Time)>,
+    /// Passes a second.
+    pace: f64,
+    log: Logger,
+}
+
+impl Coordinator {
+    pub(crate) fn new(membership: &rank_port::Membership, number: u64, plans: bool, now: Time, log: Logger) -> Self {
+        info!(log, "coordinating"; "group" => membership.group.as_ref(), "number" => number, "plans" => plans);
+        Self {
+            group: Arc::clone(&membership.group),
+            number,
+            made: 0,
+            plans,
+            ranks: (0..membership.size).map(|_| None).collect(),
+            sizes: None,
+            planner: None,
+            planned: now,
+            goal: None,
+            sent: Vec::new(),
+            pace_from: None,
+            pace: FIRST_PACE,
+            log,
+        }
+    }
+
+    /// The group.
+    pub(crate) fn group(&self) -> &Arc<str> {
+        &self.group
+    }
+
+    /// Its number.
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Takes the sizes of maps.
+    pub(crate) fn size(&mut self, sizes: Option<rank_port::MapSizes>) {
+        if self.sizes != sizes {
+            self.sizes = sizes;
+            self.planner = None;
+        }
+    }
+
+    /// Whether a change is under way, so that states are wanted more often.
+    pub(crate) fn is_busy(&self) -> bool {
+        let held = |k: &Known| k.state.view.held.is_some() || k.state.view.armed.is_some();
+        self.goal.is_some() || self.ranks.iter().flatten().any(held)
+    }
+
+    /// Whether counts are due.
+    pub(crate) fn wants_counts(&self, now: Time) -> bool {
+        self.plans && now.since(self.planned) + PLAN_INTERVAL / 4 >= PLAN_INTERVAL
+    }
+
+    /// Where the agent of `rank` is.
+    pub(crate) fn address(&self, rank: usize) -> Option<SocketAddr> {
+        self.ranks.get(rank)?.as_ref().map(|k| k.from)
+    }
+
+    /// Takes an agent's state.
+    pub(crate) fn take(&mut self, state: message::State, from: SocketAddr, now: Time) {
+        if state.membership.group != self.group {
+            return;
+        }
+        let rank = state.membership.rank as usize;
+        if self.ranks.len() != state.membership.size as usize {
+            self.ranks = (0..state.membership.size).map(|_| None).collect();
+            self.planner = None;
+        }
+        self.see_pace(&state.view, now);
+        if let Some(planner) = self.planner.as_mut().filter(|_| !state.counts.is_empty()) {
+            planner.observe(rank, state.born, &state.counts);
+        }
+        if let Some(slot) = self.ranks.get_mut(rank) {
+            *slot = Some(Known { state, from, at: now });
+        }
+    }
+
+    fn see_pace(&mut self, view: &held_switch::RankView, now: Time) {
+        match self.pace_from {
+            Some((pass, at)) if view.pass > pass && now.since(at) > Duration::from_millis(300) => {
+                self.pace = (view.pass - pass) as f64 / now.since(at).as_secs_f64();
+                self.pace_from = Some((view.pass, now));
+            }
+            Some((pass, _)) if view.pass >= pass => {}
+            _ => self.pace_from = Some((view.pass, now)),
+        }
+    }
+
+    /// Orders to give now.
+    pub(crate) fn orders(&mut self, now: Time) -> Vec<rank_port::RankOrder> {
+        let views = self.views(now);
+        self.review_goal(&views, now);
+        if self.plans && now.since(self.planned) >= PLAN_INTERVAL {
+            self.plan(&views, now);
+        }
+        if self.goal.is_none() && self.plans && held_switch::needs_goal(&views) {
+            self.keep_map(&views, now);
+        }
+        let goal = self.goal.as_ref().map(|g| held_switch::Goal {
+            lead: self.lead(),
+            ..g.goal
+        });
+        let due = held_switch::due(&views, goal);
+        self.sent.retain(|s| now.since(s.at) < REPEAT);
+        let fresh: Vec<held_switch::Due> = due.into_iter().filter(|d| !self.was_sent(d)).collect();
+        self.sent.extend(fresh.iter().map(|due| Sent { due: *due, at: now }));
+        fresh.into_iter().map(|due| self.order(due)).collect()
+    }
+
+    /// Whether an order of the same kind to the same rank is still on its way.
+    fn was_sent(&self, due: &held_switch::Due) -> bool {
+        let same = |s: &Sent| {
+            let kind = std::mem::discriminant(&s.due.order) == std::mem::discriminant(&due.order);
+            kind && s.due.rank == due.rank && s.due.sequence == due.sequence
+        };
+        self.sent.iter().any(same)
+    }
+
+    fn order(&self, due: held_switch::Due) -> rank_port::RankOrder {
+        let map = match due.order {
+            held_switch::Order::Prepare(_) => self.goal.as_ref().map(|g| g.map.clone()),
+            _ => None,
+        };
+        rank_port::RankOrder {
+            due,
+            number: self.number,
+            map,
+        }
+    }
+
+    fn views(&self, now: Time) -> Vec<Option<held_switch::RankView>> {
+        let fresh = |k: &Known| (now.since(k.at) < STATE_LIFE).then_some(k.state.view);
+        self.ranks.iter().map(|rank| rank.as_ref().and_then(fresh)).collect()
+    }
+
+    fn lead(&self) -> u64 {
+        MIN_LEAD + (self.pace * LEAD_TIME.as_secs_f64()).ceil() as u64
+    }
+
+    /// Drops a goal that is reached, of another epoch, or pursued for too long.
+    fn review_goal(&mut self, views: &[Option<held_switch::RankView>], now: Time) {
+        let Some(goal) = &self.goal else { return };
+        let known = || views.iter().flatten();
+        let reached = known().count() == views.len() && known().all(|v| v.in_force >= goal.goal.version);
+        let moved = known().any(|v| v.epoch != goal.goal.epoch);
+        let late = now.since(goal.since) > GOAL_LIFE && known().all(|v| v.held.is_none() && v.armed.is_none());
+        if reached || moved || late {
+            info!(self.log, "map settled"; "version" => goal.goal.version, "reached" => reached, "epoch_moved" => moved,
+                "ms" => now.since(goal.since).as_millis() as u64);
+            self.goal = None;
+        }
+    }
+
+    /// The maps in force, when all ranks are known and agree.
+    fn current(
+        &self,
+        views: &[Option<held_switch::RankView>],
+    ) -> Option<(group_planner::GroupMap, held_switch::RankView)> {
+        let sizes = self.sizes?;
+        let first = (*views.first()?)?;
+        let alike = |v: &Option<held_switch::RankView>| {
+            v.is_some_and(|v| v.is_open && v.epoch == first.epoch && v.in_force == first.in_force)
+        };
+        if !views.iter().all(alike) {
+            return None;
+        }
+        let lists: Vec<Vec<Vec<u32>>> = self.ranks.iter().flatten().map(|k| k.state.experts.clone()).collect();
+        Some((group_planner::from_lists(&lists, sizes.sets), first))
+    }
+
+    fn plan(&mut self, views: &[Option<held_switch::RankView>], now: Time) {
+        let period = now.since(self.planned);
+        self.planned = now;
+        let Some(sizes) = self.sizes else { return };
+        let shape = group_planner::GroupShape {
+            ranks: self.ranks.len(),
+            sets: sizes.sets,
+            experts: sizes.experts,
+            bounds: rebalance::Bounds {
+                places: sizes.places,
+                new_per_rank: sizes.spare,
+            },
+        };
+        let planner = self
+            .planner
+            .get_or_insert_with(|| group_planner::GroupPlanner::new(shape));
+        planner.fold(period);
+        if self.goal.is_some() {
+            return;
+        }
+        let Some((current, view)) = self.current(views) else {
+            return;
+        };
+        let Some(planner) = &self.planner else { return };
+        let Some(plan) = planner.plan(&current) else { return };
+        info!(self.log, "map planned"; "skew" => plan.skew_before, "skew_planned" => plan.skew_after, "copies" => plan.copies,
+            "in_force" => view.in_force, "epoch" => view.epoch, "pace" => self.pace);
+        self.pursue(&plan.map, view.epoch, now);
+    }
+
+    /// Makes the map in force a goal again, under a new version, to finish a hold that nothing else can finish.
+    fn keep_map(&mut self, views: &[Option<held_switch::RankView>], now: Time) {
+        if let Some((current, view)) = self.current(views) {
+            info!(self.log, "map kept to finish a hold"; "in_force" => view.in_force, "epoch" => view.epoch);
+            self.pursue(&current, view.epoch, now);
+        }
+    }
+
+    fn pursue(&mut self, map: &group_planner::GroupMap, epoch: u64, now: Time) {
+        self.made += 1;
+        let lists = |placement: &rebalance::Placement| {
+            let ranks = placement.ranks().iter();
+            ranks.map(|held| held.iter().map(|e| e.0).collect()).collect()
+        };
+        self.goal = Some(Goal {
+            goal: held_switch::Goal {
+                version: self.number * VERSIONS_PER_NUMBER + self.made,
+                epoch,
+                holder: 0,
+                lead: MIN_LEAD,
+            },
+            map: map.iter().map(lists).collect(),
+            since: now,
+        });
+    }
+}
--- /dev/null
+++ b/crates/map-agent/src/message.rs
@@ -0,0 +1,47 @@
+//! Datagrams between agents.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use sycamorestile_expert_map::held_switch;
+
+use crate::rank_port;
+
+/// A datagram.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// The coordinator asks for the state.
+    Lead(Lead),
+    /// An agent tells the coordinator its state.
+    State(Box<State>),
+    /// The coordinator orders something of a rank.
+    Order(Box<rank_port::RankOrder>),
+}
+
+/// A coordinator's sign of life.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Lead {
+    /// Group that it coordinates.
+    pub(crate) group: Arc<str>,
+    /// Its number.
+    pub(crate) number: u64,
+    /// Whether counts are wanted as well.
+    pub(crate) wants_counts: bool,
+}
+
+/// What an agent knows about its rank.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct State {
+    /// Which rank.
+    pub(crate) membership: rank_port::Membership,
+    /// Its part in a change of maps.
+    pub(crate) view: held_switch::RankView,
+    /// Its experts by set, in the map in force.
+    pub(crate) experts: Vec<Vec<u32>>,
+    /// When the rank was started.
+    pub(crate) born: u64,
+    /// How often its requests chose each expert since then, set by set; empty when not asked for.
+    pub(crate) counts: Vec<u64>,
+    /// Highest coordinator's number that the agent knows.
+    pub(crate) number: u64,
+}
--- /dev/null
+++ b/crates/map-agent/src/rank_port.rs
@@ -0,0 +1,83 @@
+//! How a rank is asked and told.
+//!
+//! A platform's adapter fills the table of functions.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use sycamorestile_expert_map::held_switch;
+use sycamorestile_table::port;
+
+/// Which rank of which group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// Name of the group.
+    pub group: Arc<str>,
+    /// Index of the rank.
+    pub rank: u32,
+    /// Ranks of the group.
+    pub size: u32,
+}
+
+/// What a rank reports.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// `None` while the rank is in no group.
+    pub membership: Option<Membership>,
+    /// Its part in a change of maps.
+    pub view: held_switch::RankView,
+    /// When it was started, in milliseconds since the epoch.
+    pub born: u64,
+}
+
+/// Sizes of a group's maps, from the declared services.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MapSizes {
+    /// Sets of layers with a map each.
+    pub sets: usize,
+    /// Experts of a set.
+    pub experts: usize,
+    /// Most experts of a set that one rank holds.
+    pub places: usize,
+    /// Most experts of a set that one map may bring to a rank.
+    pub spare: usize,
+}
+
+/// Experts by set and rank.
+pub type ExpertLists = Vec<Vec<Vec<u32>>>;
+
+/// An order with what it needs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankOrder {
+    /// What is ordered of which rank.
+    pub due: held_switch::Due,
+    /// Number of the coordinator.
+    pub number: u64,
+    /// The map, for an order that prepares one.
+    pub map: Option<ExpertLists>,
+}
+
+/// The table of functions.
+#[derive(Debug, Clone, Copy)]
+pub struct RankPort {
+    /// Path of the report.
+    pub report_path: &'static str,
+    /// Reads it.
+    pub report: fn(&[u8]) -> Result<Report, port::Unreadable>,
+    /// Path of the counts.
+    pub counts_path: &'static str,
+    /// Reads them, set by set.
+    pub counts: fn(&[u8]) -> Result<Vec<u64>, port::Unreadable>,
+    /// Path of the rank's own map.
+    pub map_path: &'static str,
+    /// Reads it: experts by set.
+    pub map: fn(&[u8]) -> Result<Vec<Vec<u32>>, port::Unreadable>,
+    /// Path of orders.
+    pub order_path: &'static str,
+    /// Writes an order.
+    pub order: fn(&RankOrder) -> Vec<u8>,
+    /// Status that says that a higher number was seen.
+    pub outdated: u16,
+    /// Reads the sizes of a group's maps from the declarations.
+    pub sizes: fn(&[u8]) -> Result<Option<MapSizes>, port::Unreadable>,
+}
--- /dev/null
+++ b/crates/map-agent/src/settings.rs
@@ -0,0 +1,17 @@
+//! Settings of a map agent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Settings of a map agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this instance.
+    pub instance: Arc<str>,
+    /// Address for datagrams of other agents.
+    pub peers: SocketAddr,
+    /// Address of this machine's rank.
+    pub rank: SocketAddr,
+    /// Address of the platform's table.
+    pub table: SocketAddr,
+}
--- a/crates/gateway/src/table_client.rs
+++ b/crates/table/src/client.rs
@@ -1,4 +1,4 @@
-//! Calls to the platform's table over one kept connection.
+//! HTTP calls to one address over one kept connection.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,18 +18,18 @@
 
 /// Why a call gave no answer.
 #[derive(Debug, Error)]
-pub(crate) enum CallError {
+pub enum CallError {
     /// No connection came about.
-    #[error("the table can't be reached")]
+    #[error("no connection")]
     Unreachable,
     /// The connection broke. A write may have taken effect.
-    #[error("the connection to the table broke: {0}")]
+    #[error("the connection broke: {0}")]
     Broken(#[from] hyper::Error),
     /// No answer came in time. A write may have taken effect.
-    #[error("the table did not answer in time")]
+    #[error("no answer in time")]
     Silent,
-    /// The table refused the call before doing anything.
-    #[error("the table refused the call with status {0}")]
+    /// The other end refused the call.
+    #[error("refused with status {0}")]
     Refused(StatusCode),
     /// The request can't be written.
     #[error("the call can't be written: {0}")]
@@ -48,30 +48,39 @@
     }
 }
 
-/// Client of the table. A connection on which a call failed is closed: an answer that was lost there never comes.
+/// Client of one address. A connection on which a call failed is closed: an answer that was lost there never comes.
 #[derive(Debug)]
-pub(crate) struct TableClient {
+pub struct Client {
     addr: SocketAddr,
     connection: Option<Connection>,
 }
 
-impl TableClient {
-    pub(crate) fn new(addr: SocketAddr) -> Self {
+impl Client {
+    /// A client that connects when it is first used.
+    pub fn new(addr: SocketAddr) -> Self {
         Self { addr, connection: None }
     }
 
-    /// Address of the table.
-    pub(crate) fn addr(&self) -> SocketAddr {
+    /// The address.
+    pub fn addr(&self) -> SocketAddr {
         self.addr
     }
 
     /// Reads `path`.
-    pub(crate) async fn get(&mut self, path: &str, timeout: Duration) -> Result<Bytes, CallError> {
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] when no success came.
+    pub async fn get(&mut self, path: &str, timeout: Duration) -> Result<Bytes, CallError> {
         self.call(Method::GET, path, Bytes::new(), timeout).await
     }
 
     /// Posts a JSON body to `path`.
-    pub(crate) async fn post(&mut self, path: &str, body: Vec<u8>, timeout: Duration) -> Result<Bytes, CallError> {
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`], which tells whether it may have taken effect.
+    pub async fn post(&mut self, path: &str, body: Vec<u8>, timeout: Duration) -> Result<Bytes, CallError> {
         self.call(Method::POST, path, Bytes::from(body), timeout).await
     }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/table/src/feed.rs
@@ -11,8 +11,8 @@
 use tokio::time as timer;
 
 use crate::boot_clock;
+use crate::client;
 use crate::port;
-use crate::table_client;
 
 /// Time-out of a call, beyond the time that it asks the table to wait. A slow table takes a quarter of a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -23,7 +23,7 @@
 
 /// What a feed reports.
 #[derive(Debug)]
-pub(crate) enum FeedEvent {
+pub enum FeedEvent {
     /// All rows, as of the answer to a call sent at `sent`.
     Whole {
         /// When the call was sent.
@@ -46,18 +46,18 @@
 
 /// How a feed is paced.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Pace {
+pub struct Pace {
     /// Time that the table is asked to wait for a change.
-    pub(crate) wait: Duration,
+    pub wait: Duration,
     /// Pause after an answer that holds changes, which lets more of them gather for the next.
-    pub(crate) gather: Duration,
+    pub gather: Duration,
 }
 
 /// Follows `topic` until the receiver is gone.
-pub(crate) async fn follow(
+pub async fn follow(
     topic: port::Topic,
     port: port::Port,
-    mut client: table_client::TableClient,
+    mut calls: client::Client,
     pace: Pace,
     tx: mpsc::Sender<(port::Topic, FeedEvent)>,
     log: Logger,
@@ -68,11 +68,11 @@
     loop {
         let sent = boot_clock::now();
         let answered = match version {
-            None => read_whole(topic, &port, &mut client).await,
-            Some(after) => read_changes(topic, &port, &mut client, after, pace.wait).await,
+            None => read_whole(topic, &port, &mut calls).await,
+            Some(after) => read_changes(topic, &port, &mut calls, after, pace.wait).await,
         };
-        let page = match answered {
-            Ok(page) => page,
+        let answer = match answered {
+            Ok(answer) => answer,
             Err(e) => {
                 if e.is_history_lost(&port) {
                     info!(log, "history of the table is gone, reading it whole"; "topic" => topic.as_str(), "after" => version);
@@ -83,7 +83,7 @@
                     version = None;
                 }
                 if !lost {
-                    warn!(log, "table lost"; "topic" => topic.as_str(), "addr" => %client.addr(), "error" => %e);
+                    warn!(log, "table lost"; "topic" => topic.as_str(), "addr" => %calls.addr(), "error" => %e);
                     lost = true;
                     if tx.send((topic, FeedEvent::Lost)).await.is_err() {
                         return;
@@ -96,18 +96,24 @@
         };
         pause = FIRST_PAUSE;
         if lost {
-            info!(log, "table regained"; "topic" => topic.as_str(), "version" => page.version);
+            info!(log, "table regained"; "topic" => topic.as_str(), "version" => answer.version);
             lost = false;
             if tx.send((topic, FeedEvent::Regained)).await.is_err() {
                 return;
             }
         }
-        let changed = !page.rows.is_empty();
+        let changed = !answer.rows.is_empty();
         let event = match version {
-            None => FeedEvent::Whole { sent, rows: page.rows },
-            Some(_) => FeedEvent::Changes { sent, rows: page.rows },
+            None => FeedEvent::Whole {
+                sent,
+                rows: answer.rows,
+            },
+            Some(_) => FeedEvent::Changes {
+                sent,
+                rows: answer.rows,
+            },
         };
-        version = Some(page.version.max(version.unwrap_or_default()));
+        version = Some(answer.version.max(version.unwrap_or_default()));
         if tx.send((topic, event)).await.is_err() {
             return;
         }
@@ -120,26 +126,26 @@
 #[derive(Debug, thiserror::Error)]
 enum FeedError {
     #[error(transparent)]
-    Call(#[from] table_client::CallError),
+    Call(#[from] client::CallError),
     #[error(transparent)]
     Unreadable(#[from] port::Unreadable),
 }
 
 impl FeedError {
     fn is_history_lost(&self, port: &port::Port) -> bool {
-        matches!(self, Self::Call(table_client::CallError::Refused(status)) if status.as_u16() == port.history_lost)
+        matches!(self, Self::Call(client::CallError::Refused(status)) if status.as_u16() == port.history_lost)
     }
 }
 
 async fn read_whole(
     topic: port::Topic,
     port: &port::Port,
-    client: &mut table_client::TableClient,
+    calls: &mut client::Client,
 ) -> Result<port::Page, FeedError> {
     let mut whole = port::Page::default();
     let mut after: Option<String> = None;
     loop {
-        let body = client.get(&(port.read)(topic, after.as_deref()), CALL_TIMEOUT).await?;
+        let body = calls.get(&(port.read)(topic, after.as_deref()), CALL_TIMEOUT).await?;
         let page = (port.page)(&body)?;
         // The feed goes on from the first page's version, so that changes between two pages are not missed.
         if after.is_none() {
@@ -157,12 +163,12 @@
 async fn read_changes(
     topic: port::Topic,
     port: &port::Port,
-    client: &mut table_client::TableClient,
+    calls: &mut client::Client,
     after: u64,
     wait: Duration,
 ) -> Result<port::Page, FeedError> {
     let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-    let body = client
+    let body = calls
         .get(&(port.follow)(topic, after, wait_ms), wait + CALL_TIMEOUT)
         .await?;
     Ok((port.page)(&body)?)
--- a/crates/gateway/src/port.rs
+++ b/crates/table/src/port.rs
@@ -8,7 +8,7 @@
 use sycamorestile_core::direct::{declarations, endpoint};
 use thiserror::Error;
 
-/// What a gateway follows in the table.
+/// What is followed in the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Topic {
     /// Routes, services, keys and limits.
@@ -17,6 +17,10 @@
     Endpoints,
     /// Rows in which gateways tell each other where they are.
     Gateways,
+    /// Rows in which map agents tell each other where they are.
+    MapAgents,
+    /// Rows that say who leads a group.
+    Leases,
 }
 
 impl Topic {
@@ -26,6 +30,8 @@
             Self::Declarations => "declarations",
             Self::Endpoints => "endpoints",
             Self::Gateways => "gateways",
+            Self::MapAgents => "map agents",
+            Self::Leases => "leases",
         }
     }
 }
@@ -69,10 +75,14 @@
     pub read: fn(Topic, Option<&str>) -> String,
     /// Path and query that waits up to so many milliseconds for changes after a version.
     pub follow: fn(Topic, u64, u64) -> String,
-    /// Path of the call that writes a row unconditionally.
+    /// Path of the call that writes a row.
     pub write_path: &'static str,
-    /// Body of that call.
-    pub write: fn(Topic, &str, &[u8]) -> Vec<u8>,
+    /// Body of that call: topic, key, value, and the version that the row must have, with 0 for a row that must not exist.
+    pub write: fn(Topic, &str, &[u8], Option<u64>) -> Vec<u8>,
+    /// Reads the version of an answer to it.
+    pub written: fn(&[u8]) -> Result<u64, Unreadable>,
+    /// Status that says that the row has another version.
+    pub version_differs: u16,
     /// Status that says that the history asked for is gone.
     pub history_lost: u16,
     /// Reads an answer of `read` and `follow`.
