Leaving gateways refuse at once what may not end before the kill

With most of a failure domain leaving, the balancer goes on sending to all of its instances. Ruled out: closing the listener (a reset connection promises nothing, so calls that may run once are lost). Change: core::direct::leaving; requests after 2.7 s are taken only if they must end within the grace.

--- /dev/null
+++ b/crates/core/src/direct/leaving.rs
@@ -0,0 +1,16 @@
+//! What a gateway that was told to stop still takes.
+//!
+//! The balancer goes on sending new connections for a while, and for longer when most of a failure domain is leaving. A
+//! request that might still be at work when the process is killed is refused at once, so that its caller goes elsewhere.
+
+use std::time::Duration;
+
+/// Time after the order to stop in which everything is taken: the balancer has not noticed yet.
+pub const TAKES_ALL: Duration = Duration::from_millis(2_700);
+/// Part of the grace at its end that is left for closing.
+pub const END_MARGIN: Duration = Duration::from_millis(300);
+
+/// Whether a request that may take up to `patience` is taken `since` the order to stop, with `grace` until the kill.
+pub fn takes(since: Option<Duration>, grace: Duration, patience: Duration) -> bool {
+    since.is_none_or(|since| since <= TAKES_ALL || since + patience + END_MARGIN <= grace)
+}
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -19,6 +19,7 @@
 pub mod engine_model;
 pub mod event_cut;
 pub mod freshness;
+pub mod leaving;
 pub mod placement;
 pub mod relay;
 pub mod retry_share;
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -3,11 +3,14 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
-use sycamorestile_core::direct::{placement, retry_share};
+use sycamorestile_core::direct::{leaving, placement, retry_share};
+use sycamorestile_core::time;
+use sycamorestile_table::boot_clock;
 use tokio::sync::watch;
 
 use crate::dialect;
@@ -31,6 +34,8 @@
     pub(crate) in_flight: Cell<usize>,
     /// Set once the process was told to stop.
     pub(crate) leaving: watch::Receiver<bool>,
+    /// When that was.
+    pub(crate) leaving_since: Cell<Option<time::Time>>,
     pub(crate) log: Logger,
 }
 
@@ -39,6 +44,12 @@
         Arc::clone(&self.snapshots.borrow())
     }
 
+    /// Whether a request that may take up to `patience` is still taken.
+    pub(crate) fn takes(&self, patience: Duration) -> bool {
+        let since = self.leaving_since.get().map(|at| boot_clock::now().since(at));
+        leaving::takes(since, self.settings.stop_grace, patience)
+    }
+
     /// A random number from 0 to 1.
     pub(crate) fn chance(&self) -> f64 {
         self.rng.borrow_mut().random()
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -25,6 +25,8 @@
 
 /// Wait that a refusal names when the cause passes by itself: keys are confirmed again, endpoints come back.
 const SOON: Duration = Duration::from_millis(700);
+/// Wait that a leaving instance names: another instance takes the request at once.
+const ELSEWHERE: Duration = Duration::from_millis(50);
 /// Time for which the rest of an oversized body is read, so that its sender reads the answer instead of a reset.
 const LINGER: Duration = Duration::from_secs(2);
 /// Bytes of an oversized body that are read and dropped.
@@ -153,6 +155,10 @@
         .deadline
         .map_or(grant.route.timeout, |d| d.min(grant.route.timeout));
     let deadline = started + patience;
+    if !cx.takes(patience) {
+        linger(body);
+        return Err(refused(problem::ProblemKind::Leaving));
+    }
     let limit = cx
         .snapshot()
         .declared
@@ -231,7 +237,9 @@
 
 /// The problem of `kind`, with a wait where one is due.
 pub(crate) fn problem_of(cx: &cx::Cx, kind: problem::ProblemKind) -> problem::Problem {
-    if kind.passes_with_time() {
+    if kind == problem::ProblemKind::Leaving {
+        refuse::later(cx, kind, kind.title(), ELSEWHERE)
+    } else if kind.passes_with_time() {
         refuse::later(cx, kind, kind.title(), SOON)
     } else {
         problem::Problem::new(kind, kind.title())
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,7 +7,8 @@
 
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info, warn};
-use sycamorestile_core::direct::placement;
+use sycamorestile_core::direct::{leaving, placement};
+use sycamorestile_table::boot_clock;
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
@@ -31,8 +32,6 @@
 /// Time for which a leaving gateway goes on accepting: the balancer asks once a second and takes two misses to stop
 /// sending new connections.
 const ACCEPT_ON: Duration = Duration::from_millis(2_600);
-/// Part of the grace at its end that is left for closing.
-const END_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which a leaving gateway looks whether it is done.
 const LEAVE_POLL: Duration = Duration::from_millis(50);
 
@@ -77,6 +76,7 @@
         metrics: metrics::Metrics::new(),
         in_flight: Cell::new(0),
         leaving,
+        leaving_since: Cell::new(None),
         log,
     });
     let bind = |source| error::GatewayError::Bind {
@@ -92,6 +92,7 @@
         "failure_domain" => cx.settings.failure_domain.as_ref(), "callers" => %cx.settings.callers,
         "table" => %cx.settings.table);
     wait_for_stop(&cx).await?;
+    cx.leaving_since.set(Some(boot_clock::now()));
     leave.send_replace(true);
     drain(&cx).await;
     info!(cx.log, "gateway left"; "in_flight" => cx.in_flight.get());
@@ -115,7 +116,7 @@
 /// Goes on serving until the balancer has looked away and nothing is in flight, but no longer than the grace allows.
 async fn drain(cx: &cx::Cx) {
     info!(cx.log, "gateway leaving"; "in_flight" => cx.in_flight.get());
-    let end = time::Instant::now() + cx.settings.stop_grace.saturating_sub(END_MARGIN);
+    let end = time::Instant::now() + cx.settings.stop_grace.saturating_sub(leaving::END_MARGIN);
     time::sleep(ACCEPT_ON).await;
     while cx.in_flight.get() > 0 && time::Instant::now() < end {
         time::sleep(LEAVE_POLL).await;
