Quicker map switches

Cause: maps came into force 1.0 to 1.5 s after their plan; the hold lay 7 or more passes ahead, passes take 60 to 100 ms. Change: plans each 250 ms (500), hold 2 passes plus 80 ms ahead (4 plus 250 ms).

--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -23,7 +23,7 @@
 use crate::settings;
 
 /// Interval of a coordinator that is at rest.
-const REST: Duration = Duration::from_millis(250);
+const REST: Duration = Duration::from_millis(125);
 /// Interval while a change is under way.
 const BUSY: Duration = Duration::from_millis(50);
 /// Interval at which a follower looks whether its coordinator is gone.
--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -20,11 +20,11 @@
 /// Time for which a map is pursued before a new one is planned instead.
 const GOAL_LIFE: Duration = Duration::from_secs(6);
 /// Interval at which counts are folded and plans are made.
-const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+const PLAN_INTERVAL: Duration = Duration::from_millis(250);
 /// Time from a hold to the pass that it holds, in which all ranks are to be armed.
-const LEAD_TIME: Duration = Duration::from_millis(250);
+const LEAD_TIME: Duration = Duration::from_millis(80);
 /// Fewest passes between a hold and its pass.
-const MIN_LEAD: u64 = 4;
+const MIN_LEAD: u64 = 2;
 /// Passes a second before any were seen.
 const FIRST_PACE: f64 = 20.0;
 /// Versions that one coordinator's number has room for.
@@ -115,7 +115,7 @@
 
     /// Whether counts are due.
     pub(crate) fn wants_counts(&self, now: Time) -> bool {
-        self.plans && now.since(self.planned) + PLAN_INTERVAL / 4 >= PLAN_INTERVAL
+        self.plans && now.since(self.planned) + PLAN_INTERVAL / 3 >= PLAN_INTERVAL
     }
 
     /// Where the agent of `rank` is.
