Expert counts averaged over 450 ms, a copy priced at 0.03 of skew

Cause: demand shifts every 3 to 4 s; averages over 900 ms lag, and cheap copies make each switch longer.

--- a/crates/expert-map/src/group_planner.rs
+++ b/crates/expert-map/src/group_planner.rs
@@ -10,9 +10,9 @@
 use crate::time_constant;
 
 /// Time over which counts are averaged. Longer averages lag behind shifts, shorter ones follow single prompts.
-const AVERAGING: Duration = Duration::from_millis(900);
+const AVERAGING: Duration = Duration::from_millis(450);
 /// Fall of one set's skew that pays for one copied expert.
-const PRICE_OF_COPY: f64 = 0.006;
+const PRICE_OF_COPY: f64 = 0.03;
 /// Least fall of the mean skew that is worth a switch, which slows the group while experts are copied.
 const LEAST_FALL: f64 = 0.05;
 
