Ranks whose agent is silent are asked and ordered directly by the coordinator

Ruled out: the agent's process alone; the rank on a frozen machine does not answer anybody, so its part can't be known and the hold can't be released.

--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -77,6 +77,14 @@
     })
 }
 
+/// What a rank without a working agent answered.
+struct Direct {
+    addr: SocketAddr,
+    state: Option<message::State>,
+    /// Whether it has seen a higher number.
+    outdated: bool,
+}
+
 struct Agent {
     settings: settings::Settings,
     table: port::Port,
@@ -84,7 +92,7 @@
     socket: UdpSocket,
     rank: rank::Rank,
     /// Other agents, and this one.
-    peers: Vec<(Arc<str>, SocketAddr)>,
+    peers: Vec<(Arc<str>, message::Whereabouts)>,
     sizes: Option<rank_port::MapSizes>,
     leadership: leadership::Leadership,
     /// When the coordinator was last heard.
@@ -92,10 +100,16 @@
     /// What the rank last reported.
     membership: Option<rank_port::Membership>,
     is_held: bool,
+    /// Whether the coordinator was changing maps when it was last heard.
+    leads_busily: bool,
     coordinator: Option<coordinator::Coordinator>,
     leases: client::Client,
     /// No number is asked for before this time.
     lease_pause: Time,
+    /// Ranks that are being asked directly.
+    asked: Vec<SocketAddr>,
+    direct_tx: mpsc::Sender<Direct>,
+    direct_rx: mpsc::Receiver<Direct>,
     log: Logger,
 }
 
@@ -108,6 +122,7 @@
         log: Logger,
     ) -> Self {
         let now = boot_clock::now();
+        let (direct_tx, direct_rx) = mpsc::channel(QUEUE);
         Self {
             rank: rank::Rank::new(settings.rank, rank_port, log.clone()),
             leases: client::Client::new(settings.table),
@@ -121,6 +136,10 @@
             heard: now,
             membership: None,
             is_held: false,
+            leads_busily: false,
+            asked: Vec::new(),
+            direct_tx,
+            direct_rx,
             coordinator: None,
             lease_pause: now,
             log,
@@ -157,6 +176,11 @@
                     Ok((len, from)) => self.take(buf.get(..len).unwrap_or_default().to_vec(), from).await,
                     Err(e) => warn!(self.log, "datagram not received"; "error" => %e),
                 },
+                direct = self.direct_rx.recv() => {
+                    if let Some(direct) = direct {
+                        self.take_direct(direct).await;
+                    }
+                }
                 () = time::sleep_until(next) => {
                     let pause = self.tick().await;
                     next = time::Instant::now() + pause;
@@ -182,10 +206,10 @@
     fn learn_peer(&mut self, row: &port::Row) {
         self.peers.retain(|(instance, _)| *instance != row.key);
         let text = row.value.as_ref().and_then(|v| std::str::from_utf8(v).ok());
-        if let Some(addr) = text.and_then(|t| t.parse().ok()) {
+        if let Some(found) = text.and_then(message::Whereabouts::parse) {
             // A new agent may come at the address of one that is gone.
-            self.peers.retain(|(_, known)| *known != addr);
-            self.peers.push((Arc::clone(&row.key), addr));
+            self.peers.retain(|(_, known)| known.agent != found.agent);
+            self.peers.push((Arc::clone(&row.key), found));
         }
     }
 
@@ -207,7 +231,7 @@
                     self.leadership.hear(state.number);
                     self.step_down("an agent knows a higher number");
                 } else if let Some(coordinator) = &mut self.coordinator {
-                    coordinator.take(*state, from, now);
+                    coordinator.take(*state, coordinator::Via::Agent(from), now);
                     self.give_orders(now).await;
                 }
             }
@@ -224,6 +248,7 @@
             self.step_down("a higher number leads");
         }
         self.heard = now;
+        self.leads_busily = lead.is_busy;
         self.tell_state(from, lead.wants_counts).await;
     }
 
@@ -274,7 +299,7 @@
             return WATCH;
         };
         let silence = now.since(self.heard);
-        match self.leadership.role(membership.rank, silence, self.is_held) {
+        match self.leadership.role(membership.rank, silence, self.is_held || self.leads_busily) {
             leadership::Role::Follow => WATCH,
             leadership::Role::Stand if now < self.lease_pause => WATCH,
             leadership::Role::Stand => {
@@ -350,6 +375,11 @@
         };
         let lead = self.lead_message(coordinator, now);
         self.send_to_peers(&lead).await;
+        let missing = self.peers.iter().map(|(_, w)| *w).filter(|w| coordinator.lacks(*w, now));
+        let missing: Vec<SocketAddr> = missing.map(|w| w.rank).collect();
+        for addr in missing {
+            self.ask_directly(addr, None);
+        }
         self.give_orders(now).await;
         if busy { BUSY } else { REST }
     }
@@ -358,6 +388,7 @@
         message::Message::Lead(message::Lead {
             group: Arc::clone(coordinator.group()),
             number: coordinator.number(),
+            is_busy: coordinator.is_busy(),
             wants_counts: coordinator.wants_counts(now),
         })
     }
@@ -367,18 +398,64 @@
             return;
         };
         let orders = coordinator.orders(now);
-        let addressed = orders.into_iter().map(|o| (coordinator.address(o.due.rank), o));
-        let addressed: Vec<(Option<SocketAddr>, rank_port::RankOrder)> = addressed.collect();
-        for (addr, order) in addressed {
-            if let Some(addr) = addr {
-                self.send(&message::Message::Order(Box::new(order)), addr).await;
+        let addressed = orders.into_iter().map(|o| (coordinator.via(o.due.rank), o));
+        let addressed: Vec<(Option<coordinator::Via>, rank_port::RankOrder)> = addressed.collect();
+        for (via, order) in addressed {
+            match via {
+                Some(coordinator::Via::Agent(addr)) => {
+                    self.send(&message::Message::Order(Box::new(order)), addr).await;
+                }
+                Some(coordinator::Via::Rank(addr)) => self.ask_directly(addr, Some(order)),
+                None => {}
             }
         }
     }
 
+    /// Asks a rank whose agent does not answer, after giving it an order if there is one.
+    fn ask_directly(&mut self, addr: SocketAddr, order: Option<rank_port::RankOrder>) {
+        if order.is_none() {
+            let asked = self.asked.iter().any(|a| *a == addr);
+            if asked {
+                return;
+            }
+            self.asked.push(addr);
+        }
+        let mut rank = rank::Rank::new(addr, self.rank_port, self.log.clone());
+        let (number, tx, log) = (self.leadership.number, self.direct_tx.clone(), self.log.clone());
+        tokio::task::spawn_local(async move {
+            let outdated = match &order {
+                Some(order) => rank.order(order).await,
+                None => false,
+            };
+            let state = match rank.state(number, false).await {
+                Ok(state) => Some(state),
+                Err(e) => {
+                    warn!(log, "state of a rank without an agent not known"; "rank" => %addr, "error" => %e);
+                    None
+                }
+            };
+            // The agent's loop lives as long as the process.
+            let _taken = tx.send(Direct { addr, state, outdated }).await;
+        });
+    }
+
+    async fn take_direct(&mut self, direct: Direct) {
+        self.asked.retain(|a| *a != direct.addr);
+        if direct.outdated && self.leadership.is_own {
+            self.leadership.is_own = false;
+            self.step_down("a rank has seen a higher number");
+        }
+        let now = boot_clock::now();
+        let Some(coordinator) = &mut self.coordinator else { return };
+        if let Some(state) = direct.state {
+            coordinator.take(state, coordinator::Via::Rank(direct.addr), now);
+            self.give_orders(now).await;
+        }
+    }
+
     async fn send_to_peers(&self, message: &message::Message) {
-        for (_, addr) in &self.peers {
-            self.send(message, *addr).await;
+        for (_, peer) in &self.peers {
+            self.send(message, peer.agent).await;
         }
     }
 
@@ -398,7 +475,11 @@
 /// Writes where this agent is, so that the others find it.
 async fn announce(settings: settings::Settings, table: port::Port, log: Logger) {
     let mut calls = client::Client::new(settings.table);
-    let value = settings.peers.to_string();
+    let value = message::Whereabouts {
+        agent: settings.peers,
+        rank: settings.rank,
+    };
+    let value = value.to_text();
     loop {
         let body = (table.write)(port::Topic::MapAgents, &settings.instance, value.as_bytes(), None);
         match calls.post(table.write_path, body, LEASE_TIMEOUT).await {
--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -13,6 +13,17 @@
 use crate::message;
 use crate::rank_port;
 
+/// How a rank is reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Via {
+    /// Through the agent at this address.
+    Agent(SocketAddr),
+    /// Directly at this address, since its agent does not answer.
+    Rank(SocketAddr),
+}
+
+/// Age of a rank's state from which on the rank is asked directly. That is priced, so an agent gets a few tries first.
+const ASK_DIRECTLY: Duration = Duration::from_millis(450);
 /// Age at which a rank's state no longer counts.
 const STATE_LIFE: Duration = Duration::from_millis(1_500);
 /// Time after which an order that shows no effect is given again.
@@ -32,8 +43,8 @@
 
 struct Known {
     state: message::State,
-    /// Where its agent is.
-    from: SocketAddr,
+    /// Where it came from.
+    via: Via,
     at: Time,
 }
 
@@ -60,6 +71,8 @@
     sizes: Option<rank_port::MapSizes>,
     planner: Option<group_planner::GroupPlanner>,
     planned: Time,
+    /// When it began to coordinate.
+    since: Time,
     goal: Option<Goal>,
     sent: Vec<Sent>,
     /// Pass and time of the last look at the pace.
@@ -81,6 +94,7 @@
             sizes: None,
             planner: None,
             planned: now,
+            since: now,
             goal: None,
             sent: Vec::new(),
             pace_from: None,
@@ -118,13 +132,21 @@
         self.plans && now.since(self.planned) + PLAN_INTERVAL / 3 >= PLAN_INTERVAL
     }
 
-    /// Where the agent of `rank` is.
-    pub(crate) fn address(&self, rank: usize) -> Option<SocketAddr> {
-        self.ranks.get(rank)?.as_ref().map(|k| k.from)
+    /// How `rank` is reached.
+    pub(crate) fn via(&self, rank: usize) -> Option<Via> {
+        self.ranks.get(rank)?.as_ref().map(|k| k.via)
+    }
+
+    /// Whether the state of the rank of the agent at `addr` is so old that the rank is to be asked directly. `known` says
+    /// whether the agent ever answered.
+    pub(crate) fn lacks(&self, whereabouts: message::Whereabouts, now: Time) -> bool {
+        let of = |k: &&Known| k.via == Via::Agent(whereabouts.agent) || k.via == Via::Rank(whereabouts.rank);
+        let newest = self.ranks.iter().flatten().filter(of).map(|k| k.at).max();
+        now.since(newest.unwrap_or(self.since)) > ASK_DIRECTLY
     }
 
-    /// Takes an agent's state.
-    pub(crate) fn take(&mut self, state: message::State, from: SocketAddr, now: Time) {
+    /// Takes a rank's state.
+    pub(crate) fn take(&mut self, state: message::State, via: Via, now: Time) {
         if state.membership.group != self.group {
             return;
         }
@@ -138,7 +160,7 @@
             planner.observe(rank, state.born, &state.counts);
         }
         if let Some(slot) = self.ranks.get_mut(rank) {
-            *slot = Some(Known { state, from, at: now });
+            *slot = Some(Known { state, via, at: now });
         }
     }
 
--- a/crates/map-agent/src/message.rs
+++ b/crates/map-agent/src/message.rs
@@ -1,5 +1,6 @@
 //! Datagrams between agents.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -25,10 +26,37 @@
     pub(crate) group: Arc<str>,
     /// Its number.
     pub(crate) number: u64,
+    /// Whether a change of maps is under way, so that its loss would be felt soon.
+    pub(crate) is_busy: bool,
     /// Whether counts are wanted as well.
     pub(crate) wants_counts: bool,
 }
 
+/// Where an agent and its rank are; the value of the agent's row in the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Whereabouts {
+    /// The agent's address for datagrams.
+    pub(crate) agent: SocketAddr,
+    /// The rank's address.
+    pub(crate) rank: SocketAddr,
+}
+
+impl Whereabouts {
+    /// The row's value.
+    pub(crate) fn to_text(self) -> String {
+        format!("{} {}", self.agent, self.rank)
+    }
+
+    /// Reads the row's value.
+    pub(crate) fn parse(text: &str) -> Option<Self> {
+        let (agent, rank) = text.split_once(' ')?;
+        Some(Self {
+            agent: agent.parse().ok()?,
+            rank: rank.parse().ok()?,
+        })
+    }
+}
+
 /// What an agent knows about its rank.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct State {
