Outages of a whole service told from lone connections; choices among three random endpoints; tests of direct decisions

Cause 1: while a rank is lost, all ranks of its group stall and refuse; requests were sent to one after the other, and silent streams were continued at ranks that stood still as well. Change 1: core::direct::outage. Requests are refused at once while two endpoints refused for another's sake and nothing came since, but for a probe each 250 ms; a stream counts as lost only while its service goes on. Cause 2, found by the new test: eight gateways that know the same least loaded rank all choose it; largest over mean load 1.355 with counts of peers, 1.359 without. Change 2: each choice looks at three random endpoints: 1.15 to 1.19 (two 1.25, four 1.14 to 1.24, six up to 1.25).

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -20,6 +20,7 @@
 pub mod event_cut;
 pub mod freshness;
 pub mod leaving;
+pub mod outage;
 pub mod placement;
 pub mod relay;
 pub mod retry_share;
--- /dev/null
+++ b/crates/core/src/direct/outage.rs
@@ -0,0 +1,82 @@
+//! Whether a whole service stands still, or one endpoint or connection does.
+//!
+//! The load it answers: a lock-step group of which one rank is lost or cut off. All ranks then stall together and refuse
+//! together until the group has formed again. Trying another rank only adds to the crowd that waits, so new requests are
+//! refused at once, but for a probe now and then, and a silent stream is continued elsewhere only while the rest of its
+//! service goes on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::time;
+
+/// Endpoints that must have refused or gone silent since the last progress for the service to count as out.
+const WITNESSES: usize = 2;
+/// Interval of probes while a service is out. A group forms again within a second.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Age at which troubles are forgotten: the group may be back without anybody having tried.
+const TROUBLE_LIFE: Duration = Duration::from_secs(3);
+/// Silence of one stream, while its service goes on, after which its connection counts as lost. Many passes long.
+const LONE_SILENCE: Duration = Duration::from_millis(800);
+/// Progress elsewhere that is no older than this means that the service goes on. A few passes long.
+const GOES_ON: Duration = Duration::from_millis(400);
+
+/// What a service's requests met lately.
+#[derive(Debug, Clone, Default)]
+pub struct Outage {
+    /// When an event or whole answer last came from any endpoint.
+    progress: time::Time,
+    /// Endpoints that refused for another one's sake or went silent since, and when.
+    troubles: Vec<(Arc<str>, time::Time)>,
+    /// When the last probe was let through.
+    probed: time::Time,
+}
+
+/// What becomes of a request to a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Passage {
+    /// The service works as far as is known.
+    Open,
+    /// The service is out; this request finds out whether it is back.
+    Probe,
+    /// The service is out.
+    Closed,
+}
+
+impl Outage {
+    /// Something came from an endpoint.
+    pub fn progress(&mut self, now: time::Time) {
+        self.progress = now;
+        self.troubles.clear();
+    }
+
+    /// `endpoint` refused for another endpoint's sake, or went silent.
+    pub fn trouble(&mut self, endpoint: &Arc<str>, now: time::Time) {
+        self.troubles
+            .retain(|(id, at)| id != endpoint && now.since(*at) < TROUBLE_LIFE);
+        self.troubles.push((Arc::clone(endpoint), now));
+    }
+
+    /// Whether the service is out.
+    pub fn is_out(&self, now: time::Time) -> bool {
+        let recent = self.troubles.iter().filter(|(_, at)| now.since(*at) < TROUBLE_LIFE);
+        recent.count() >= WITNESSES
+    }
+
+    /// What becomes of a new request.
+    pub fn passage(&mut self, now: time::Time) -> Passage {
+        if !self.is_out(now) {
+            Passage::Open
+        } else if now.since(self.probed) >= PROBE_INTERVAL {
+            self.probed = now;
+            Passage::Probe
+        } else {
+            Passage::Closed
+        }
+    }
+
+    /// Whether a stream that has been silent for `silence` has lost its connection: the rest of its service goes on.
+    pub fn is_lone(&self, silence: Duration, now: time::Time) -> bool {
+        silence >= LONE_SILENCE && now.since(self.progress) <= GOES_ON
+    }
+}
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -8,6 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+
 use crate::direct::endpoint;
 use crate::time;
 
@@ -26,6 +30,11 @@
 /// Load, as a share of the endpoint's slots, that a call into another failure domain stands for.
 const FAR_LOAD: f64 = 0.04;
 
+/// Endpoints among which each choice is made.
+const DRAWN: usize = 3;
+/// Number of seeds that a chance is spread over.
+const SEEDS: f64 = 4_294_967_296.0;
+
 /// What an answer said about its endpoint's load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -91,8 +100,6 @@
             fresh.iter().filter(|e| !self.is_paused(&e.id, now)).copied().collect();
         // With every endpoint paused, the pause tells nothing apart.
         let pool = if usable.is_empty() { fresh } else { usable };
-        let start = (chance * pool.len() as f64) as usize;
-        let turned = pool.iter().cycle().skip(start).take(pool.len());
         let cost = |e: &endpoint::Endpoint| {
             let far = if e.failure_domain.as_ref() == failure_domain {
                 0.0
@@ -101,7 +108,9 @@
             };
             self.load(e, now) + far + self.failure_rate(&e.id) * FAILURE_LOAD
         };
-        turned.min_by(|a, b| cost(a).total_cmp(&cost(b))).copied()
+        // Peers that know the same least loaded endpoint would all choose it, so each looks at a random few.
+        let drawn = draw(pool.len(), chance).map(|at| pool[at]);
+        drawn.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
     /// Load of a service's endpoints.
@@ -247,6 +256,14 @@
     }
 }
 
+/// Indices of a random few of `len` things, in random order.
+fn draw(len: usize, chance: f64) -> impl Iterator<Item = usize> {
+    let mut rng = ChaCha8Rng::seed_from_u64((chance * SEEDS) as u64);
+    let mut order: Vec<usize> = (0..len).collect();
+    order.shuffle(&mut rng);
+    order.into_iter().take(DRAWN)
+}
+
 impl Peer {
     fn count(&self, id: &str) -> u32 {
         let at = self.counts.binary_search_by(|(e, _)| e.as_ref().cmp(id));
--- /dev/null
+++ b/crates/core/tests/direct_access.rs
@@ -0,0 +1,152 @@
+//! Routes, keys and their freshness.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+use sycamorestile_core::direct::{access, credentials, declarations, freshness, route, route_table};
+use sycamorestile_core::problem::ProblemKind;
+use sycamorestile_core::time::Time;
+
+/// Time within which a revoked key must stop.
+const BOUND: Duration = Duration::from_secs(5);
+
+fn route(host: &str, prefix: &str, open: bool) -> Arc<route::Route> {
+    Arc::new(route::Route {
+        name: Arc::from(format!("{host}{prefix}")),
+        host: Arc::from(host),
+        prefix: Arc::from(prefix),
+        kind: route::RouteKind::Safe,
+        targets: vec![route::Target {
+            service: Arc::from("ledger"),
+            weight: 1,
+        }],
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        max_pause: None,
+        max_attempts: 2,
+        priority: 1,
+        open,
+    })
+}
+
+fn declared() -> declarations::Declarations {
+    let organisation = Arc::new(credentials::Organisation {
+        name: Arc::from("acme"),
+        priority: None,
+    });
+    declarations::Declarations {
+        version: 7,
+        routes: route_table::RouteTable::new(vec![
+            route("a.example", "/lots/", false),
+            route("a.example", "/lots/old/", false),
+            route("a.example", "/open/", true),
+            route("b.example", "/lots/", false),
+        ]),
+        credentials: Some(credentials::Credentials::new(vec![(Arc::from("key-1"), organisation)])),
+        ..declarations::Declarations::default()
+    }
+}
+
+#[rstest]
+#[case::longest("a.example", "/lots/old/7", Some("a.example/lots/old/"))]
+#[case::shorter("a.example", "/lots/new/7", Some("a.example/lots/"))]
+#[case::exact("a.example", "/lots/", Some("a.example/lots/"))]
+#[case::host_with_port("A.Example:8080", "/lots/x", Some("a.example/lots/"))]
+#[case::no_whole_segment("a.example", "/lotsx/", None)]
+#[case::prefix_without_slash("a.example", "/lots", None)]
+#[case::other_host("c.example", "/lots/", None)]
+#[case::root("a.example", "/", None)]
+fn the_longest_prefix_of_the_host_is_taken(#[case] host: &str, #[case] path: &str, #[case] expected: Option<&str>) {
+    let declared = declared();
+    let found = declared.routes.find(host, path).map(|r| r.name.as_ref());
+    assert_eq!(found, expected);
+}
+
+fn grant(confirmed_ms: Option<u64>, now_ms: u64, path: &str, key: Option<&str>) -> Result<Option<String>, ProblemKind> {
+    let mut freshness = freshness::Freshness::default();
+    if let Some(ms) = confirmed_ms {
+        freshness.confirm(Time::from_millis(ms));
+    }
+    let declared = declared();
+    let known = confirmed_ms.map(|_| &declared);
+    let ask = access::Ask {
+        host: "a.example",
+        path,
+        key,
+    };
+    let granted = access::grant(known, &freshness, BOUND, Time::from_millis(now_ms), ask);
+    granted.map(|g| g.organisation.map(|o| o.name.to_string()))
+}
+
+#[rstest]
+#[case::key_in_force(Some(0), 1_000, "/lots/1", Some("key-1"), Ok(Some("acme")))]
+#[case::unknown_key(Some(0), 1_000, "/lots/1", Some("key-2"), Err(ProblemKind::UnknownKey))]
+#[case::no_key(Some(0), 1_000, "/lots/1", None, Err(ProblemKind::UnknownKey))]
+#[case::open_route(Some(0), 1_000, "/open/1", None, Ok(None))]
+#[case::no_route(Some(0), 1_000, "/else/1", Some("key-1"), Err(ProblemKind::UnknownRoute))]
+#[case::key_not_confirmed(Some(0), 5_000, "/lots/1", Some("key-1"), Err(ProblemKind::KeysUnconfirmed))]
+#[case::unknown_key_not_confirmed(Some(0), 5_000, "/lots/1", Some("key-2"), Err(ProblemKind::KeysUnconfirmed))]
+#[case::open_route_out_of_touch(Some(0), 60_000, "/open/1", None, Ok(None))]
+#[case::no_route_out_of_touch(Some(0), 60_000, "/else/1", None, Err(ProblemKind::NotReady))]
+#[case::nothing_known(None, 1_000, "/lots/1", Some("key-1"), Err(ProblemKind::NotReady))]
+fn what_a_request_may_use(
+    #[case] confirmed_ms: Option<u64>,
+    #[case] now_ms: u64,
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+    #[case] expected: Result<Option<&str>, ProblemKind>,
+) {
+    let expected = expected.map(|name| name.map(str::to_owned));
+    assert_eq!(grant(confirmed_ms, now_ms, path, key), expected);
+}
+
+#[test]
+fn an_older_read_does_not_confirm_again() {
+    let mut freshness = freshness::Freshness::default();
+    freshness.confirm(Time::from_millis(3_000));
+    freshness.confirm(Time::from_millis(1_000));
+    assert_eq!(freshness.age(Time::from_millis(4_000)), Some(Duration::from_secs(1)));
+}
+
+#[test]
+fn keys_stop_before_the_bound_for_any_age() {
+    let mut freshness = freshness::Freshness::default();
+    freshness.confirm(Time::from_millis(0));
+    for ms in (0..10_000).step_by(50) {
+        let allowed = freshness.allows_keys(Time::from_millis(ms), BOUND);
+        assert!(
+            !allowed || ms < 5_000,
+            "a key is honoured {ms} ms after its confirmation"
+        );
+    }
+}
+
+#[test]
+fn shares_of_targets_follow_their_weights() {
+    let mut split = (*route("a.example", "/", true)).clone();
+    split.targets = vec![
+        route::Target {
+            service: Arc::from("old"),
+            weight: 90,
+        },
+        route::Target {
+            service: Arc::from("new"),
+            weight: 10,
+        },
+    ];
+    let drawn = (0..1_000).filter(|n| {
+        let chance = f64::from(*n) / 1_000.0;
+        split
+            .target(chance, |_| true)
+            .is_some_and(|t| t.service.as_ref() == "new")
+    });
+    assert_eq!(drawn.count(), 100);
+    let only = split.target(0.95, |service| service == "old");
+    assert_eq!(
+        only.map(|t| t.service.as_ref()),
+        Some("old"),
+        "a service without endpoints gets no request"
+    );
+    assert!(split.target(0.5, |_| false).is_none());
+}
--- /dev/null
+++ b/crates/core/tests/direct_event_cut.rs
@@ -0,0 +1,60 @@
+//! Cutting streams between events.
+
+use proptest::prelude::*;
+use sycamorestile_core::direct::event_cut::EventCut;
+
+fn stream(events: &[(u32, String)], ending: &str) -> Vec<u8> {
+    let text = events
+        .iter()
+        .map(|(id, data)| format!("id: {id}{ending}data: {data}{ending}{ending}"));
+    text.collect::<String>().into_bytes()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn bytes_come_out_as_they_went_in(
+        data in prop::collection::vec("[a-z ]{0,20}", 1..20),
+        cuts in prop::collection::vec(1_usize..40, 1..40),
+        crlf in any::<bool>(),
+    ) {
+        let events: Vec<(u32, String)> = data.into_iter().enumerate().map(|(n, d)| (n as u32 + 1, d)).collect();
+        let whole = stream(&events, if crlf { "\r\n" } else { "\n" });
+        let (mut cut, mut out, mut rest) = (EventCut::default(), Vec::new(), whole.as_slice());
+        for len in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (part, after) = rest.split_at((*len).min(rest.len()));
+            out.extend_from_slice(&cut.feed(part).expect("events are short"));
+            rest = after;
+            // Whatever was handed on ends with a whole event, and names it.
+            let text = String::from_utf8(out.clone()).expect("the stream is text");
+            let last = text.lines().filter_map(|l| l.strip_prefix("id: ")).next_back();
+            prop_assert_eq!(cut.last_id(), last);
+        }
+        prop_assert_eq!(out, whole);
+        prop_assert!(!cut.is_mid_event());
+    }
+}
+
+#[test]
+fn half_an_event_is_held_back() {
+    let mut cut = EventCut::after(Some("3".to_owned()));
+    let out = cut.feed(b"id: 4\ndata: a\n\nid: 5\nda").expect("short");
+    assert_eq!(out.as_ref(), b"id: 4\ndata: a\n\n");
+    assert_eq!(cut.last_id(), Some("4"));
+    assert!(cut.is_mid_event());
+    cut.drop_partial();
+    assert!(!cut.is_mid_event());
+    let out = cut.feed(b"id: 5\ndata: b\n\n").expect("short");
+    assert_eq!(out.as_ref(), b"id: 5\ndata: b\n\n");
+}
+
+#[test]
+fn an_endless_event_is_an_error() {
+    let mut cut = EventCut::default();
+    let long = vec![b'x'; 2 << 20];
+    assert!(cut.feed(&long).is_err());
+}
--- /dev/null
+++ b/crates/core/tests/direct_outage.rs
@@ -0,0 +1,75 @@
+//! Telling a service that stands still from one lost connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sycamorestile_core::direct::outage;
+use sycamorestile_core::time::Time;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(10_000 + ms)
+}
+
+fn id(n: usize) -> Arc<str> {
+    Arc::from(format!("rank-{n}"))
+}
+
+/// Requests a second, one after the other, through an outage of `out_ms`; gives back how many of them were sent.
+fn sent_while_out(out_ms: u64) -> usize {
+    let mut service = outage::Outage::default();
+    service.progress(at(0));
+    service.trouble(&id(0), at(1));
+    service.trouble(&id(1), at(2));
+    let mut sent = 0;
+    for (n, ms) in (10..out_ms).step_by(20).enumerate() {
+        if service.passage(at(ms)) != outage::Passage::Closed {
+            sent += 1;
+            // The probe is refused like all before it.
+            service.trouble(&id(n % 12), at(ms + 1));
+        }
+    }
+    sent
+}
+
+#[test]
+fn requests_are_refused_at_once_while_the_service_is_out() {
+    // Fifty requests a second for 5 s; a probe each quarter of a second is needed to see the end of the outage.
+    let sent = sent_while_out(5_000);
+    assert!(
+        (15..=22).contains(&sent),
+        "{sent} of 250 requests were sent into the outage"
+    );
+}
+
+#[test]
+fn one_refusing_endpoint_is_no_outage() {
+    let mut service = outage::Outage::default();
+    service.progress(at(0));
+    for ms in 1..50 {
+        service.trouble(&id(3), at(ms));
+    }
+    assert_eq!(service.passage(at(60)), outage::Passage::Open);
+}
+
+#[test]
+fn first_progress_ends_the_outage() {
+    let mut service = outage::Outage::default();
+    service.trouble(&id(0), at(0));
+    service.trouble(&id(1), at(0));
+    assert!(service.is_out(at(10)));
+    service.progress(at(20));
+    assert_eq!(service.passage(at(20)), outage::Passage::Open);
+}
+
+#[test]
+fn a_stream_is_continued_elsewhere_only_while_its_service_goes_on() {
+    let mut service = outage::Outage::default();
+    service.progress(at(0));
+    let silence = Duration::from_secs(1);
+    // All streams of the group have been silent alike: a held or stalled group.
+    assert!(!service.is_lone(silence, at(1_000)));
+    service.progress(at(950));
+    assert!(service.is_lone(silence, at(1_000)));
+    // A few passes of silence are nothing.
+    assert!(!service.is_lone(Duration::from_millis(200), at(1_000)));
+}
--- /dev/null
+++ b/crates/core/tests/direct_placement.rs
@@ -0,0 +1,139 @@
+//! Placing requests of several gateways on the ranks of one group.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sycamorestile_core::direct::endpoint::{Endpoint, EndpointState};
+use sycamorestile_core::direct::placement::{Placement, ReportedLoad};
+use sycamorestile_core::time::Time;
+
+const RANKS: usize = 12;
+const GATEWAYS: usize = 8;
+
+fn endpoints() -> Vec<Arc<Endpoint>> {
+    let endpoint = |n: usize| Endpoint {
+        id: Arc::from(format!("rank-{n:02}")),
+        service: Arc::from("model"),
+        addr: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        failure_domain: Arc::from(["a", "b", "c"][n % 3]),
+        slots: 12,
+        state: EndpointState::Ready,
+    };
+    (0..RANKS).map(|n| Arc::new(endpoint(n))).collect()
+}
+
+/// Streams of 2 s, 60 a second through eight gateways; gives back the largest over the mean load of ranks, averaged over
+/// time. Peers hear of each other each 100 ms, or never.
+fn imbalance(peers_hear: bool, seed: u64) -> f64 {
+    let endpoints = endpoints();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut gateways: Vec<Placement> = (0..GATEWAYS).map(|_| Placement::default()).collect();
+    let mut running: Vec<(u64, usize, usize)> = Vec::new();
+    let (mut sum, mut samples) = (0.0, 0);
+    for ms in 0..10_000_u64 {
+        let now = Time::from_millis(1_000 + ms);
+        let ended: Vec<(u64, usize, usize)> = running.iter().copied().filter(|r| r.0 <= ms).collect();
+        running.retain(|r| r.0 > ms);
+        for (_, gateway, rank) in ended {
+            gateways[gateway].end(&endpoints[rank].id);
+        }
+        if rng.random::<f64>() < 0.06 {
+            let gateway = rng.random_range(0..GATEWAYS);
+            let chance = rng.random();
+            let chosen = gateways[gateway].choose(&endpoints, &[], "a", chance, now);
+            let id = Arc::clone(&chosen.expect("twelve endpoints are usable").id);
+            let rank = endpoints
+                .iter()
+                .position(|e| e.id == id)
+                .expect("the choice is one of them");
+            gateways[gateway].begin(&id);
+            running.push((ms + rng.random_range(500..3_500), gateway, rank));
+        }
+        if peers_hear && ms % 100 == 0 {
+            let counts: Vec<_> = gateways.iter().map(Placement::own_counts).collect();
+            for (n, gateway) in gateways.iter_mut().enumerate() {
+                for (m, counts) in counts.iter().enumerate().filter(|(m, _)| *m != n) {
+                    gateway.hear(&Arc::from(format!("gateway-{m}")), counts.clone(), now);
+                }
+            }
+        }
+        if ms > 3_000 {
+            let mut loads = [0.0; RANKS];
+            for (_, _, rank) in &running {
+                loads[*rank] += 1.0;
+            }
+            let mean = loads.iter().sum::<f64>() / RANKS as f64;
+            sum += loads.iter().copied().fold(0.0, f64::max) / mean.max(0.1);
+            samples += 1;
+        }
+    }
+    sum / f64::from(samples)
+}
+
+#[test]
+fn ranks_are_level_when_gateways_tell_each_other() {
+    for seed in 1..=5 {
+        let (told, alone) = (imbalance(true, seed), imbalance(false, seed));
+        println!("seed {seed}: largest over mean {told:.3} with counts of peers, {alone:.3} without");
+        // Ten streams a rank: one more than the mean on the fullest rank is a tenth; the target is at most two more.
+        assert!(told < 1.25, "seed {seed}: {told}");
+        assert!(told < alone, "seed {seed}: {told} is no better than {alone}");
+    }
+}
+
+#[test]
+fn an_endpoint_that_can_not_be_reached_is_left_alone_for_a_while() {
+    let endpoints = endpoints();
+    let mut placement = Placement::default();
+    let now = Time::from_millis(1_000);
+    placement.failed(&endpoints[0].id, now);
+    for n in 0..100 {
+        let chosen = placement
+            .choose(&endpoints, &[], "a", f64::from(n) / 100.0, now)
+            .expect("others are there");
+        assert_ne!(chosen.id, endpoints[0].id);
+    }
+    assert!(
+        placement.choose(&endpoints[..1], &[], "a", 0.5, now).is_some(),
+        "the only endpoint is still tried"
+    );
+    let later = Time::from_millis(1_600);
+    placement.begin(&endpoints[1].id);
+    let among = [Arc::clone(&endpoints[0]), Arc::clone(&endpoints[1])];
+    for _ in 0..20 {
+        placement.answered(&endpoints[0].id, None, later);
+    }
+    assert_eq!(
+        placement.choose(&among, &[], "b", 0.0, later).map(|e| &e.id),
+        Some(&endpoints[0].id)
+    );
+}
+
+#[test]
+fn a_report_counts_while_it_is_fresh() {
+    let endpoints = endpoints();
+    let mut placement = Placement::default();
+    let load = ReportedLoad {
+        running: 12,
+        waiting: 5,
+    };
+    placement.answered(&endpoints[0].id, Some(load), Time::from_millis(1_000));
+    assert_eq!(placement.count(&endpoints[0].id, Time::from_millis(1_100)), 17);
+    assert_eq!(placement.count(&endpoints[0].id, Time::from_millis(3_000)), 0);
+}
+
+#[test]
+fn silent_peers_are_forgotten() {
+    let endpoints = endpoints();
+    let mut placement = Placement::default();
+    placement.hear(
+        &Arc::from("g"),
+        vec![(Arc::clone(&endpoints[0].id), 9)],
+        Time::from_millis(1_000),
+    );
+    assert_eq!(placement.count(&endpoints[0].id, Time::from_millis(1_500)), 9);
+    assert_eq!(placement.count(&endpoints[0].id, Time::from_millis(4_000)), 0);
+    assert_eq!(placement.live_peers(Time::from_millis(4_000)), 0);
+}
--- /dev/null
+++ b/crates/core/tests/direct_retry_share.rs
@@ -0,0 +1,62 @@
+//! A retry budget that all instances draw on without asking each other.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use sycamorestile_core::direct::retry_share::{RetryBound, RetryShare};
+use sycamorestile_core::time::Time;
+
+const BOUND: RetryBound = RetryBound {
+    ratio: 0.2,
+    extra: 92.0,
+    window: Duration::from_secs(10),
+};
+
+/// Every request wants a repeat for 30 s, three quarters of them through one instance. Gives back the largest number of
+/// repeats over the budget in any window.
+fn worst_excess(instances: usize, per_s: f64, seed: u64) -> f64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut shares: Vec<RetryShare> = (0..instances).map(|_| RetryShare::new(BOUND)).collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for ms in 0..30_000_u64 {
+        let now = Time::from_millis(ms);
+        if rng.random::<f64>() < per_s / 1_000.0 {
+            let at = if rng.random::<f64>() < 0.75 {
+                0
+            } else {
+                rng.random_range(0..instances)
+            };
+            shares[at].request(now);
+            requests.push(ms);
+            if shares[at].spend(now, instances) {
+                repeats.push(ms);
+            }
+        }
+    }
+    let within = |times: &[u64], end: u64| times.iter().filter(|t| **t <= end && **t + 10_000 > end).count() as f64;
+    let excess = |end: u64| within(&repeats, end) - (0.2 * within(&requests, end) + 92.0);
+    (0..30_000).step_by(100).map(excess).fold(f64::MIN, f64::max)
+}
+
+#[rstest]
+fn the_sum_over_instances_holds_in_every_window(
+    #[values(8, 40, 200, 800)] instances: usize,
+    #[values(60.0, 600.0)] per_s: f64,
+) {
+    for seed in 1..=3 {
+        let excess = worst_excess(instances, per_s, seed);
+        assert!(
+            excess <= 0.0,
+            "{instances} instances, seed {seed}: {excess} repeats over the budget"
+        );
+    }
+}
+
+#[test]
+fn a_quiet_instance_can_still_repeat() {
+    let mut share = RetryShare::new(BOUND);
+    share.request(Time::from_millis(0));
+    assert!(share.spend(Time::from_millis(1), 8));
+}
--- a/crates/gateway/src/cx.rs
+++ b/crates/gateway/src/cx.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
-use sycamorestile_core::direct::{leaving, placement, retry_share};
+use sycamorestile_core::direct::{leaving, outage, placement, retry_share};
 use sycamorestile_core::time;
 use sycamorestile_table::boot_clock;
 use tokio::sync::watch;
@@ -27,6 +27,8 @@
     pub(crate) placement: RefCell<placement::Placement>,
     /// Sorted by service.
     pub(crate) retries: RefCell<Vec<(Arc<str>, retry_share::RetryShare)>>,
+    /// Sorted by service.
+    pub(crate) outages: RefCell<Vec<(Arc<str>, outage::Outage)>>,
     pub(crate) pool: pool::Pool,
     pub(crate) rng: RefCell<ChaCha8Rng>,
     pub(crate) metrics: metrics::Metrics,
@@ -55,6 +57,22 @@
         self.rng.borrow_mut().random()
     }
 
+    /// Runs `f` on what is known of the outage of `service`.
+    pub(crate) fn with_outage<F, R>(&self, service: &Arc<str>, f: F) -> R
+    where
+        F: FnOnce(&mut outage::Outage) -> R,
+    {
+        let mut outages = self.outages.borrow_mut();
+        let at = match outages.binary_search_by(|(s, _)| s.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                outages.insert(at, (Arc::clone(service), outage::Outage::default()));
+                at
+            }
+        };
+        f(&mut outages[at].1)
+    }
+
     /// Runs `f` on the retry share of `service`.
     pub(crate) fn with_retries<F, R>(&self, service: &Arc<str>, f: F) -> R
     where
--- a/crates/gateway/src/drive.rs
+++ b/crates/gateway/src/drive.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use slog::info;
-use sycamorestile_core::direct::{admission, answer_class, endpoint, event_cut, relay, route};
+use sycamorestile_core::direct::{admission, answer_class, endpoint, event_cut, outage, relay, route};
 use sycamorestile_core::problem;
 use tokio::sync::mpsc;
 use tokio::time;
@@ -26,8 +26,13 @@
 
 /// Largest answer that is held until it is whole, in bytes.
 const MAX_WHOLE_BYTES: usize = 8 << 20;
-/// Silence of a stream, beyond the time that a group stalls for a lost rank, after which it is continued elsewhere.
-const SILENCE_MARGIN: Duration = Duration::from_millis(250);
+/// Interval at which a silent stream is looked at.
+const SILENCE_LOOK: Duration = Duration::from_millis(200);
+/// Wait that a refusal names while a whole service is out. Groups take seconds to come back, and a request that was
+/// refused once has missed its objective anyway; callers cut longer waits to what their deadline allows.
+const OUTAGE_WAIT: Duration = Duration::from_millis(2_200);
+/// Longest wait for the head of a stream at one endpoint, beyond the time that a group stalls for a lost rank.
+const HEAD_MARGIN: Duration = Duration::from_millis(250);
 /// Chunks of a stream that wait for a slow caller.
 const STREAM_QUEUE: usize = 8;
 /// Wait that a refusal names when endpoints are out of reach or full.
@@ -133,10 +138,15 @@
     }
     let snapshot = cx.snapshot();
     let target = call.grant.route.targets.first()?;
+    let now = boot_clock::now();
+    if cx.with_outage(&target.service, |o| o.passage(now)) == outage::Passage::Closed {
+        let detail = "the service is out of order";
+        return Some(refuse::later(cx, problem::ProblemKind::NoEndpoint, detail, OUTAGE_WAIT));
+    }
     let load = cx
         .placement
         .borrow()
-        .service_load(snapshot.endpoints_of(&target.service), boot_clock::now());
+        .service_load(snapshot.endpoints_of(&target.service), now);
     match admission::stream(&load) {
         admission::Admission::Begin => None,
         admission::Admission::Refuse(wait) => {
@@ -179,13 +189,21 @@
         relay::Verdict::Unknown => problem::ProblemKind::AnswerLost,
     };
     let problem = if kind.passes_with_time() {
-        refuse::later(cx, kind, way.why, ENDPOINT_WAIT)
+        refuse::later(cx, kind, way.why, wait_of(cx, way))
     } else {
         problem::Problem::new(kind, way.why)
     };
     refuse::response(cx, &problem)
 }
 
+/// The wait that a refusal names.
+fn wait_of(cx: &cx::Cx, way: &Way) -> Duration {
+    let target = way.call.grant.route.targets.first();
+    let now = boot_clock::now();
+    let is_out = target.is_some_and(|t| cx.with_outage(&t.service, |o| o.is_out(now)));
+    if is_out { OUTAGE_WAIT } else { ENDPOINT_WAIT }
+}
+
 /// Sends the request to one more endpoint.
 async fn send(cx: &Rc<cx::Cx>, way: &mut Way, last_event: Option<&str>) -> Result<Sent, problem::ProblemKind> {
     let now = boot_clock::now();
@@ -277,7 +295,9 @@
             });
         }
         Err(_) => {
-            cx.placement.borrow_mut().failed(&place.endpoint.id, boot_clock::now());
+            let now = boot_clock::now();
+            cx.placement.borrow_mut().failed(&place.endpoint.id, now);
+            cx.with_outage(&place.endpoint.service, |o| o.trouble(&place.endpoint.id, now));
             return Ok(nothing(way.relay.lost(), "no answer in time"));
         }
     };
@@ -290,7 +310,7 @@
     let more = way.relay.sent() < route.max_attempts;
     match route.kind {
         route::RouteKind::Safe if more => remaining / 2,
-        route::RouteKind::Stream { resumable: true } if more => remaining.min(cx.settings.stall + SILENCE_MARGIN),
+        route::RouteKind::Stream { resumable: true } if more => remaining.min(cx.settings.stall + HEAD_MARGIN),
         _ => remaining,
     }
 }
@@ -322,7 +342,11 @@
             Ok(nothing(way.relay.lost(), "answer to another request"))
         }
         answer_class::AnswerClass::Refused => {
-            cx.placement.borrow_mut().refused(&id, now);
+            if answer.culprit.is_some() {
+                cx.with_outage(&place.endpoint.service, |o| o.trouble(&id, now));
+            } else {
+                cx.placement.borrow_mut().refused(&id, now);
+            }
             if read_whole(way, body).await.is_some() {
                 give_back(lease, &head.headers, &answer);
             }
@@ -549,7 +573,7 @@
     async fn run(mut self, first: Leg) {
         let mut leg = first;
         let reason = loop {
-            let end = self.hand_on(&mut leg.body).await;
+            let end = self.hand_on(&mut leg.body, &leg.place.endpoint.service).await;
             let id = Arc::clone(&leg.place.endpoint.id);
             match end {
                 LegEnd::Whole => {
@@ -589,15 +613,15 @@
     }
 
     /// Hands on whole events until the leg ends.
-    async fn hand_on(&mut self, body: &mut Incoming) -> LegEnd {
-        let silence = self.cx.settings.stall + SILENCE_MARGIN;
+    async fn hand_on(&mut self, body: &mut Incoming, service: &Arc<str>) -> LegEnd {
+        let mut heard = boot_clock::now();
         loop {
             let left = self.way.call.deadline.since(boot_clock::now());
             if left.is_zero() {
                 return LegEnd::TimeUp;
             }
             let next = tokio::select! {
-                next = time::timeout(silence.min(left), body.frame()) => next,
+                next = time::timeout(SILENCE_LOOK.min(left), body.frame()) => next,
                 () = self.tx.closed() => return LegEnd::CallerLeft,
             };
             let frame = match next {
@@ -605,9 +629,16 @@
                 Ok(Some(Err(_))) => return LegEnd::Broken("stream broke"),
                 Ok(None) if self.cut.is_mid_event() => return LegEnd::Broken("stream ended within an event"),
                 Ok(None) => return LegEnd::Whole,
-                Err(_) if left <= silence => return LegEnd::TimeUp,
-                Err(_) => return LegEnd::Broken("stream went silent"),
+                Err(_) => {
+                    let now = boot_clock::now();
+                    if self.cx.with_outage(service, |o| o.is_lone(now.since(heard), now)) {
+                        return LegEnd::Broken("stream went silent");
+                    }
+                    continue;
+                }
             };
+            heard = boot_clock::now();
+            self.cx.with_outage(service, |o| o.progress(heard));
             let Some(data) = frame.data_ref() else { continue };
             let Ok(whole) = self.cut.feed(data) else {
                 return LegEnd::Broken("event too long");
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -71,6 +71,7 @@
         snapshots,
         placement: RefCell::new(placement::Placement::default()),
         retries: RefCell::default(),
+        outages: RefCell::default(),
         pool: pool::Pool::default(),
         rng: RefCell::new(rand::make_rng::<ChaCha8Rng>()),
         metrics: metrics::Metrics::new(),
--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -299,7 +299,10 @@
             return WATCH;
         };
         let silence = now.since(self.heard);
-        match self.leadership.role(membership.rank, silence, self.is_held || self.leads_busily) {
+        match self
+            .leadership
+            .role(membership.rank, silence, self.is_held || self.leads_busily)
+        {
             leadership::Role::Follow => WATCH,
             leadership::Role::Stand if now < self.lease_pause => WATCH,
             leadership::Role::Stand => {
@@ -375,7 +378,11 @@
         };
         let lead = self.lead_message(coordinator, now);
         self.send_to_peers(&lead).await;
-        let missing = self.peers.iter().map(|(_, w)| *w).filter(|w| coordinator.lacks(*w, now));
+        let missing = self
+            .peers
+            .iter()
+            .map(|(_, w)| *w)
+            .filter(|w| coordinator.lacks(*w, now));
         let missing: Vec<SocketAddr> = missing.map(|w| w.rank).collect();
         for addr in missing {
             self.ask_directly(addr, None);
@@ -446,7 +453,9 @@
             self.step_down("a rank has seen a higher number");
         }
         let now = boot_clock::now();
-        let Some(coordinator) = &mut self.coordinator else { return };
+        let Some(coordinator) = &mut self.coordinator else {
+            return;
+        };
         if let Some(state) = direct.state {
             coordinator.take(state, coordinator::Via::Rank(direct.addr), now);
             self.give_orders(now).await;
