--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -20,8 +20,8 @@
 
 use sycamorestile_table::boot_clock;
 
-/// Time-out of a connection attempt; endpoints are a few milliseconds away, and a lost packet is repeated after 200 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time-out of a connection attempt; endpoints are a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle time of a kept connection when the endpoint names none.
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
 /// Part of the endpoint's own idle time that is left unused, since both ends may close at once.
