Maps relayed through agents, fewer calls to the table, price of a copy by the size of the group

Change: orders that carry a map go through a few agents each; the price is 0.36 over the number of ranks; sizes are read once by the coordinator; announcements may take 3 s; feeds gather longer.

--- a/crates/expert-map/src/group_planner.rs
+++ b/crates/expert-map/src/group_planner.rs
@@ -11,8 +11,9 @@
 
 /// Time over which counts are averaged. Longer averages lag behind shifts, shorter ones follow single prompts.
 const AVERAGING: Duration = Duration::from_millis(450);
-/// Fall of one set's skew that pays for one copied expert.
-const PRICE_OF_COPY: f64 = 0.03;
+/// Fall of one set's skew that pays for one copied expert, times the number of ranks: what a copy costs is the same in
+/// any group, and what a smaller skew saves grows with the group.
+const PRICE_OF_COPY: f64 = 0.36;
 /// Least fall of the mean skew that is worth a switch, which slows the group while experts are copied.
 const LEAST_FALL: f64 = 0.05;
 
@@ -125,9 +126,10 @@
         if !self.knows_loads() || current.len() != self.shape.sets {
             return None;
         }
+        let price = PRICE_OF_COPY / self.shape.ranks.max(1) as f64;
         let placements = current.iter().enumerate();
         let map: GroupMap = placements
-            .map(|(set, p)| rebalance::rebalance(p, self.set_loads(set), self.shape.bounds, PRICE_OF_COPY))
+            .map(|(set, p)| rebalance::rebalance(p, self.set_loads(set), self.shape.bounds, price))
             .collect();
         let (skew_before, skew_after) = (self.skew(current), self.skew(&map));
         let copies = map.iter().zip(current).map(|(new, old)| new.copies_from(old)).sum();
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -28,18 +28,18 @@
     wait: Duration::from_millis(1_200),
     gather: Duration::from_millis(100),
 };
-/// Endpoints: leaving ones are to get nothing new after two seconds, so entries may gather for a quarter of that.
+/// Endpoints: leaving ones are to get nothing new after two seconds, so entries may gather for less than half of that.
 const ENDPOINTS_PACE: feed::Pace = feed::Pace {
-    wait: Duration::from_millis(2_500),
-    gather: Duration::from_millis(500),
+    wait: Duration::from_secs(5),
+    gather: Duration::from_millis(800),
 };
 /// Gateways come and go rarely.
 const GATEWAYS_PACE: feed::Pace = feed::Pace {
-    wait: Duration::from_secs(20),
-    gather: Duration::from_millis(500),
+    wait: Duration::from_secs(25),
+    gather: Duration::from_millis(1_500),
 };
 /// Time-out of the call that writes this gateway's own row.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Pause between two tries of it.
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 
--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -32,17 +32,15 @@
 const LEASE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause after a failed try to take a number.
 const LEASE_PAUSE: Duration = Duration::from_millis(500);
+/// Time-out of the call that writes this agent's own row: all agents may start at once, and a part of the table takes
+/// one write after the other.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Pause between two tries to write this agent's own row.
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 /// How the rows of other agents are followed.
 const AGENTS_PACE: feed::Pace = feed::Pace {
     wait: Duration::from_secs(25),
-    gather: Duration::from_millis(300),
-};
-/// How the declarations are followed: sizes of maps hardly ever change.
-const DECLARATIONS_PACE: feed::Pace = feed::Pace {
-    wait: Duration::from_secs(25),
-    gather: Duration::from_secs(5),
+    gather: Duration::from_millis(1_500),
 };
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60 << 10;
@@ -104,12 +102,14 @@
     leads_busily: bool,
     coordinator: Option<coordinator::Coordinator>,
     leases: client::Client,
-    /// No number is asked for before this time.
+    /// No call to the table is made before this time.
     lease_pause: Time,
     /// Ranks that are being asked directly.
     asked: Vec<SocketAddr>,
     direct_tx: mpsc::Sender<Direct>,
     direct_rx: mpsc::Receiver<Direct>,
+    /// Which agent comes first when a map is spread.
+    turn: usize,
     log: Logger,
 }
 
@@ -140,6 +140,7 @@
             asked: Vec::new(),
             direct_tx,
             direct_rx,
+            turn: 0,
             coordinator: None,
             lease_pause: now,
             log,
@@ -148,28 +149,24 @@
 
     async fn run(mut self) {
         let (tx, mut events) = mpsc::channel(QUEUE);
-        for (topic, pace) in [
-            (port::Topic::MapAgents, AGENTS_PACE),
-            (port::Topic::Declarations, DECLARATIONS_PACE),
-        ] {
-            let calls = client::Client::new(self.settings.table);
-            tokio::task::spawn_local(feed::follow(
-                topic,
-                self.table,
-                calls,
-                pace,
-                tx.clone(),
-                self.log.clone(),
-            ));
-        }
+        let calls = client::Client::new(self.settings.table);
+        let topic = port::Topic::MapAgents;
+        tokio::task::spawn_local(feed::follow(
+            topic,
+            self.table,
+            calls,
+            AGENTS_PACE,
+            tx,
+            self.log.clone(),
+        ));
         tokio::task::spawn_local(announce(self.settings.clone(), self.table, self.log.clone()));
         let mut buf = vec![0; MAX_DATAGRAM];
         let mut next = time::Instant::now() + WATCH;
         loop {
             tokio::select! {
                 event = events.recv() => {
-                    if let Some((topic, event)) = event {
-                        self.learn(topic, event);
+                    if let Some((_, event)) = event {
+                        self.learn(event);
                     }
                 }
                 received = self.socket.recv_from(&mut buf) => match received {
@@ -189,17 +186,13 @@
         }
     }
 
-    fn learn(&mut self, topic: port::Topic, event: feed::FeedEvent) {
+    fn learn(&mut self, event: feed::FeedEvent) {
         let rows = match event {
             feed::FeedEvent::Whole { rows, .. } | feed::FeedEvent::Changes { rows, .. } => rows,
             feed::FeedEvent::Lost | feed::FeedEvent::Regained => return,
         };
         for row in rows {
-            match topic {
-                port::Topic::MapAgents => self.learn_peer(&row),
-                port::Topic::Declarations if row.key.as_ref() == self.table.declarations_key => self.learn_sizes(&row),
-                _ => {}
-            }
+            self.learn_peer(&row);
         }
     }
 
@@ -213,19 +206,35 @@
         }
     }
 
-    fn learn_sizes(&mut self, row: &port::Row) {
-        let Some(value) = &row.value else { return };
-        match (self.rank_port.sizes)(value) {
+    /// Reads the sizes of maps from the declarations. They hardly ever change, so a coordinator reads them once.
+    async fn learn_sizes(&mut self) {
+        let read = (self.table.read)(port::Topic::Declarations, None);
+        let sizes = match self.leases.get(&read, LEASE_TIMEOUT).await {
+            Ok(body) => self.sizes_of(&body),
+            Err(e) => Err(e.to_string()),
+        };
+        match sizes {
             Ok(sizes) => self.sizes = sizes,
-            Err(e) => warn!(self.log, "declarations can't be read"; "error" => %e),
+            Err(cause) => warn!(self.log, "sizes of maps not known"; "cause" => cause),
         }
     }
 
+    fn sizes_of(&self, body: &[u8]) -> Result<Option<rank_port::MapSizes>, String> {
+        let page = (self.table.page)(body).map_err(|e| e.to_string())?;
+        let row = page
+            .rows
+            .iter()
+            .find(|row| row.key.as_ref() == self.table.declarations_key);
+        let value = row.and_then(|row| row.value.as_ref());
+        value.map_or(Ok(None), |v| (self.rank_port.sizes)(v).map_err(|e| e.to_string()))
+    }
+
     async fn take(&mut self, datagram: Vec<u8>, from: SocketAddr) {
         let now = boot_clock::now();
         match postcard::from_bytes::<message::Message>(&datagram) {
             Ok(message::Message::Lead(lead)) => self.follow(lead, from, now).await,
             Ok(message::Message::Order(order)) => self.carry_out(*order, from).await,
+            Ok(message::Message::Relay(relay)) => self.relay(*relay).await,
             Ok(message::Message::State(state)) => {
                 if state.number > self.leadership.number {
                     self.leadership.hear(state.number);
@@ -252,6 +261,22 @@
         self.tell_state(from, lead.wants_counts).await;
     }
 
+    /// Hands an order on and carries out its own part.
+    async fn relay(&mut self, relay: message::Relay) {
+        for (addr, due) in relay.others {
+            let part = message::Relay {
+                order: rank_port::RankOrder {
+                    due,
+                    ..relay.order.clone()
+                },
+                others: Vec::new(),
+                coordinator: relay.coordinator,
+            };
+            self.send(&message::Message::Relay(Box::new(part)), addr).await;
+        }
+        self.carry_out(relay.order, relay.coordinator).await;
+    }
+
     async fn carry_out(&mut self, order: rank_port::RankOrder, from: SocketAddr) {
         if !self.leadership.hear(order.number) {
             return;
@@ -367,6 +392,10 @@
             let number = self.leadership.number;
             self.begin(membership, number, true, now);
         }
+        if self.sizes.is_none() && now >= self.lease_pause {
+            self.lease_pause = now + LEASE_PAUSE;
+            self.learn_sizes().await;
+        }
         let sizes = self.sizes;
         let Some(coordinator) = &mut self.coordinator else {
             return WATCH;
@@ -407,7 +436,9 @@
         let orders = coordinator.orders(now);
         let addressed = orders.into_iter().map(|o| (coordinator.via(o.due.rank), o));
         let addressed: Vec<(Option<coordinator::Via>, rank_port::RankOrder)> = addressed.collect();
-        for (via, order) in addressed {
+        let (large, small): (Vec<_>, Vec<_>) = addressed.into_iter().partition(|(_, order)| order.map.is_some());
+        self.spread(large).await;
+        for (via, order) in small {
             match via {
                 Some(coordinator::Via::Agent(addr)) => {
                     self.send(&message::Message::Order(Box::new(order)), addr).await;
@@ -418,6 +449,42 @@
         }
     }
 
+    /// Gives orders that carry a map through a few agents, each of which hands them on to some others.
+    async fn spread(&mut self, orders: Vec<(Option<coordinator::Via>, rank_port::RankOrder)>) {
+        let mut relayed = Vec::new();
+        for (via, order) in orders {
+            match via {
+                Some(coordinator::Via::Agent(addr)) => relayed.push((addr, order)),
+                Some(coordinator::Via::Rank(addr)) => self.ask_directly(addr, Some(order)),
+                None => {}
+            }
+        }
+        let Some(own) = self.own_address() else { return };
+        // Another agent comes first each time, since the first one may be the one that is lost.
+        let turn = relayed.len().min(self.turn);
+        relayed.rotate_left(turn);
+        self.turn = (self.turn + 1) % relayed.len().max(1);
+        for part in relayed.chunks(relayed.len().isqrt().max(1)) {
+            let Some(((first, order), rest)) = part.split_first() else {
+                continue;
+            };
+            let relay = message::Relay {
+                order: order.clone(),
+                others: rest.iter().map(|(addr, order)| (*addr, order.due)).collect(),
+                coordinator: own,
+            };
+            self.send(&message::Message::Relay(Box::new(relay)), *first).await;
+        }
+    }
+
+    fn own_address(&self) -> Option<SocketAddr> {
+        let own = self
+            .peers
+            .iter()
+            .find(|(instance, _)| *instance == self.settings.instance);
+        own.map(|(_, whereabouts)| whereabouts.agent)
+    }
+
     /// Asks a rank whose agent does not answer, after giving it an order if there is one.
     fn ask_directly(&mut self, addr: SocketAddr, order: Option<rank_port::RankOrder>) {
         if order.is_none() {
@@ -491,7 +558,7 @@
     let value = value.to_text();
     loop {
         let body = (table.write)(port::Topic::MapAgents, &settings.instance, value.as_bytes(), None);
-        match calls.post(table.write_path, body, LEASE_TIMEOUT).await {
+        match calls.post(table.write_path, body, ANNOUNCE_TIMEOUT).await {
             Ok(_) => return,
             Err(e) => warn!(log, "own row not written, trying again"; "error" => %e),
         }
--- a/crates/map-agent/src/message.rs
+++ b/crates/map-agent/src/message.rs
@@ -17,6 +17,8 @@
     State(Box<State>),
     /// The coordinator orders something of a rank.
     Order(Box<rank_port::RankOrder>),
+    /// Like an order, and to be handed on to further agents.
+    Relay(Box<Relay>),
 }
 
 /// A coordinator's sign of life.
@@ -57,6 +59,18 @@
     }
 }
 
+/// An order for several ranks. Orders that carry a map are large, and one instance's link is narrow, so the first agent
+/// of the list hands it on to the others.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Relay {
+    /// The order for the agent that gets this.
+    pub(crate) order: rank_port::RankOrder,
+    /// Agents that get the same order, and what is due at their ranks.
+    pub(crate) others: Vec<(SocketAddr, held_switch::Due)>,
+    /// The coordinator, which the ranks' states are told to.
+    pub(crate) coordinator: SocketAddr,
+}
+
 /// What an agent knows about its rank.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct State {
