--- a/crates/core/src/direct/freshness.rs
+++ b/crates/core/src/direct/freshness.rs
@@ -1,7 +1,8 @@
 //! How long ago the declarations in force were known to be the newest.
 //!
 //! Keys can be revoked while an instance is out of touch. A key is therefore honoured only for a bounded time after a
-//! read that confirmed it, counted from when that read was sent: its answer may have been on its way for long. The
+//! read that confirmed it, counted from a time at which the table surely held nothing newer: when the read was sent, or
+//! what [`table_clock`](crate::direct::table_clock) makes of it. Its answer may have been on its way for long. The
 //! driver's clock has to go on while the machine is suspended.
 
 use std::time::Duration;
@@ -14,14 +15,14 @@
 /// When the declarations were last confirmed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Freshness {
-    /// When the last confirming read was sent.
+    /// A time at which the table held nothing newer.
     confirmed: Option<time::Time>,
 }
 
 impl Freshness {
-    /// Notes that a read sent at `sent` found the declarations in force to be the newest.
-    pub fn confirm(&mut self, sent: time::Time) {
-        self.confirmed = self.confirmed.max(Some(sent));
+    /// Notes that the declarations in force were the newest at `as_of`.
+    pub fn confirm(&mut self, as_of: time::Time) {
+        self.confirmed = self.confirmed.max(Some(as_of));
     }
 
     /// Age of the last confirmation; `None` before the first.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -27,3 +27,4 @@
 pub mod roster;
 pub mod route;
 pub mod route_table;
+pub mod table_clock;
--- /dev/null
+++ b/crates/core/src/direct/table_clock.rs
@@ -0,0 +1,57 @@
+//! Places readings of the table's steady clock on this instance's own time line.
+//!
+//! An answer that was waited for tells the state of the table at its end, not at its beginning. How long it was on its
+//! way back is not known, but the table's clock says how long after an earlier answer it was made, and that one was made
+//! after its call was sent.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Rate by which the two clocks may drift apart.
+const DRIFT: f64 = 200e-6;
+/// Age at which a placement is measured anew with a call that is answered at once.
+pub const MEASURE_EVERY: Duration = Duration::from_secs(120);
+
+#[derive(Debug, Clone, Copy)]
+struct Mark {
+    /// A time on this instance's line that is no later than `table`.
+    own: Time,
+    /// Reading of the table's clock.
+    table: Duration,
+}
+
+/// Knows one reading.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TableClock {
+    mark: Option<Mark>,
+    /// Newest reading; a lower one shows that the table's clock began anew.
+    newest: Duration,
+}
+
+impl TableClock {
+    /// A time that is no later than when the table's clock showed `table`, given that the call was sent at `sent`.
+    pub fn place(&mut self, sent: Time, table: Duration) -> Time {
+        if table < self.newest {
+            self.mark = None;
+        }
+        self.newest = table;
+        let by_mark = self.mark.map(|mark| {
+            let since = table.saturating_sub(mark.table);
+            mark.own + since.mul_f64(1.0 - DRIFT)
+        });
+        match by_mark.filter(|at| *at > sent) {
+            Some(at) => at,
+            None => {
+                self.mark = Some(Mark { own: sent, table });
+                sent
+            }
+        }
+    }
+
+    /// Whether the reading is so old, or so poor, that it should be measured anew.
+    pub fn is_stale(&self) -> bool {
+        self.mark
+            .is_none_or(|mark| self.newest.saturating_sub(mark.table) > MEASURE_EVERY)
+    }
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -25,7 +25,7 @@
 /// Declarations: the wait bounds the age of the last confirmation, which has to stay well below the time within which a
 /// revoked key must stop (5 s), also when one call fails.
 const DECLARATIONS_PACE: feed::Pace = feed::Pace {
-    wait: Duration::from_millis(1_200),
+    wait: Duration::from_millis(2_000),
     gather: Duration::from_millis(100),
 };
 /// Endpoints: leaving ones are to get nothing new after two seconds, so entries may gather for less than half of that.
@@ -138,9 +138,9 @@
             (_, feed::FeedEvent::Lost | feed::FeedEvent::Regained) => {}
             (
                 port::Topic::Declarations,
-                feed::FeedEvent::Whole { sent, rows } | feed::FeedEvent::Changes { sent, rows },
+                feed::FeedEvent::Whole { as_of, rows } | feed::FeedEvent::Changes { as_of, rows },
             ) => {
-                self.declare(sent, &rows);
+                self.declare(as_of, &rows);
             }
             (port::Topic::Endpoints, feed::FeedEvent::Whole { rows, .. }) => {
                 let entries = rows.iter().filter_map(|row| self.entry(row)).collect();
@@ -166,7 +166,7 @@
         }
     }
 
-    fn declare(&mut self, sent: time::Time, rows: &[port::Row]) {
+    fn declare(&mut self, as_of: time::Time, rows: &[port::Row]) {
         let ours = rows.iter().filter(|row| row.key.as_ref() == self.port.declarations_key);
         if let Some(value) = ours.filter_map(|row| row.value.as_ref()).next_back() {
             match (self.port.declarations)(value) {
@@ -179,7 +179,7 @@
             }
         }
         if self.snapshot.declared.is_some() {
-            self.snapshot.freshness.confirm(sent);
+            self.snapshot.freshness.confirm(as_of);
         }
     }
 
--- a/crates/table/src/feed.rs
+++ b/crates/table/src/feed.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
+use sycamorestile_core::direct::table_clock;
 use sycamorestile_core::time;
 use tokio::sync::mpsc;
 use tokio::time as timer;
@@ -15,7 +16,7 @@
 use crate::port;
 
 /// Time-out of a call, beyond the time that it asks the table to wait. A slow table takes a quarter of a second.
-const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after the first failed call; doubles up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause: declarations must be in force soon after the table's return.
@@ -24,17 +25,17 @@
 /// What a feed reports.
 #[derive(Debug)]
 pub enum FeedEvent {
-    /// All rows, as of the answer to a call sent at `sent`.
+    /// All rows, as of no earlier than `as_of`.
     Whole {
-        /// When the call was sent.
-        sent: time::Time,
+        /// The table held nothing newer at this time.
+        as_of: time::Time,
         /// The rows.
         rows: Vec<port::Row>,
     },
-    /// Changes, perhaps none, as of the answer to a call sent at `sent`.
+    /// Changes, perhaps none, as of no earlier than `as_of`.
     Changes {
-        /// When the call was sent.
-        sent: time::Time,
+        /// The table held nothing newer at this time.
+        as_of: time::Time,
         /// The changes in order.
         rows: Vec<port::Row>,
     },
@@ -65,11 +66,15 @@
     let mut version = None;
     let mut pause = FIRST_PAUSE;
     let mut lost = false;
+    let mut clock = table_clock::TableClock::default();
     loop {
         let sent = boot_clock::now();
         let answered = match version {
             None => read_whole(topic, &port, &mut calls).await,
-            Some(after) => read_changes(topic, &port, &mut calls, after, pace.wait).await,
+            Some(after) => {
+                let wait = if clock.is_stale() { Duration::ZERO } else { pace.wait };
+                read_changes(topic, &port, &mut calls, after, wait).await
+            }
         };
         let answer = match answered {
             Ok(answer) => answer,
@@ -103,13 +108,14 @@
             }
         }
         let changed = !answer.rows.is_empty();
+        let as_of = answer.clock.map_or(sent, |reading| clock.place(sent, reading));
         let event = match version {
             None => FeedEvent::Whole {
-                sent,
+                as_of,
                 rows: answer.rows,
             },
             Some(_) => FeedEvent::Changes {
-                sent,
+                as_of,
                 rows: answer.rows,
             },
         };
--- a/crates/table/src/port.rs
+++ b/crates/table/src/port.rs
@@ -3,6 +3,7 @@
 //! The platform's adapter and the tests' stand-in fill the same table of functions with their calls and formats.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use sycamorestile_core::direct::{declarations, endpoint};
@@ -56,6 +57,8 @@
     pub version: u64,
     /// Whether a read has more rows than this page.
     pub has_more: bool,
+    /// Reading of the table's steady clock when the answer was made.
+    pub clock: Option<Duration>,
 }
 
 /// Something from the table that can't be read.
