Switch of maps reworked after exploration found passes on two maps

Ruled out: that numbers or counted orders shut late orders out; ranks here report 0 accepted orders throughout, so the model carries late orders out without a look at them. Change: a hold is finished only with the coordinator's own, newest version; what is armed is taken back only once some rank has a newer version; a coordinator holds on its own rank and orders another pass only after the former one began.

--- a/crates/expert-map/src/held_switch.rs
+++ b/crates/expert-map/src/held_switch.rs
@@ -9,8 +9,9 @@
 //! 4. `Release`, and only now: every rank begins the pass on the new map. An `Arm` that comes later is refused, since
 //!    its pass has begun.
 //!
-//! A hold is never just taken back: an `Arm` may be on its way. Whoever finds a hold finishes what it was for; the orders
-//! are the same whoever gives them, so two coordinators can't do each other harm. A group whose membership changes forgets everything by itself and
+//! A hold is never just taken back: an `Arm` may be on its way. Whoever finds one brings all ranks to a map of its own and
+//! releases it then. Versions only grow, and a rank that has prepared a newer one refuses to be armed for an older, so
+//! late orders and a second coordinator do no harm. A group whose membership changes forgets everything by itself and
 //! starts in a new epoch, whose number is part of every order.
 //!
 //! [`due`] is level-triggered: it looks only at what ranks report, so a coordinator that just started knows as much as
@@ -83,10 +84,12 @@
     pub version: u64,
     /// Epoch that it was planned for.
     pub epoch: u64,
-    /// Rank that takes the hold.
+    /// Rank that takes the hold; each coordinator's own, so that two never hold the same one.
     pub holder: usize,
-    /// Passes that will begin until all ranks can be armed.
-    pub lead: u64,
+    /// Pass to be held, as [`hold_pass`] says.
+    pub pass: u64,
+    /// Pass for which ranks were already ordered to arm for this version. It is never used for another one.
+    pub armed_for: Option<u64>,
 }
 
 /// Orders that are due. `views` has an entry a rank, `None` where nothing is known.
@@ -114,51 +117,92 @@
 
 /// Finishes the switch at a held pass.
 ///
-/// The pass is released only when every rank is armed alike. Where ranks have prepared different maps, because two
-/// coordinators came across each other, all are brought to the goal's map first: once a rank has prepared it, late
-/// orders to arm for another map are refused.
+/// The pass is released only when every rank is armed alike, for it or for one that lies behind it: a version is armed for
+/// one pass only, so nobody then turns at this one. Short of that, all ranks are brought to the goal's
+/// map, whoever placed the hold: what a lost coordinator armed is not built upon, since its late orders may still come.
+/// A version that was disarmed is never armed again, so a late `Disarm` finds nothing.
 fn finish(views: &[RankView], pass: u64, goal: Option<Goal>) -> Vec<Due> {
-    let version_of = |v: &RankView| match v.armed {
-        Some(turn) if turn.pass == pass => Some(turn.version),
-        Some(_) => None,
-        None => v.prepared,
-    };
-    let common = version_of(&views[0]).filter(|version| views.iter().all(|v| version_of(v) == Some(*version)));
-    let ranks = views.iter().enumerate();
-    if let Some(version) = common {
-        let turn = Turn { version, pass };
-        let missing: Vec<Due> = ranks
-            .filter(|(_, v)| v.armed.is_none())
-            .map(|(rank, v)| order(rank, v, Order::Arm(turn)))
-            .collect();
-        return if missing.is_empty() {
-            release(views, pass)
-        } else {
-            missing
-        };
+    let first = views[0].armed.filter(|turn| turn.pass >= pass);
+    if first.is_some() && views.iter().all(|v| v.armed == first) {
+        return release(views, pass);
     }
-    let Some(goal) = goal.filter(|g| g.epoch == views[0].epoch) else {
+    let usable = |g: &Goal| g.epoch == views[0].epoch && g.armed_for.is_none_or(|armed| armed == pass);
+    let Some(goal) = goal.filter(usable) else {
         return Vec::new();
     };
+    let wanted = Turn {
+        version: goal.version,
+        pass,
+    };
+    let foreign = views.iter().filter_map(|v| v.armed).filter(|turn| *turn != wanted);
+    match foreign.map(|turn| turn.version).min() {
+        Some(version) => clear(views, version, goal),
+        None => {
+            let unprepared = prepare(views, goal);
+            if unprepared.is_empty() {
+                arm(views, wanted)
+            } else {
+                unprepared
+            }
+        }
+    }
+}
+
+/// Takes back what is armed for `version`. That is safe once a rank has a newer version: it can't be armed for this one
+/// any more, so nobody ever finds all ranks armed for it.
+fn clear(views: &[RankView], version: u64, goal: Goal) -> Vec<Due> {
+    let newer = |v: &RankView| v.armed.map_or(v.prepared, |turn| Some(turn.version)) > Some(version);
+    if !views.iter().any(newer) {
+        return prepare(views, goal);
+    }
+    let armed = |v: &RankView| v.armed.is_some_and(|turn| turn.version == version);
+    let ranks = views.iter().enumerate().filter(|(_, v)| armed(v));
+    ranks.map(|(rank, v)| order(rank, v, Order::Disarm(version))).collect()
+}
+
+/// Has ranks that are not armed prepare the goal's map.
+fn prepare(views: &[RankView], goal: Goal) -> Vec<Due> {
+    let lacks = |v: &RankView| v.armed.is_none() && v.prepared < Some(goal.version);
+    let ranks = views.iter().enumerate().filter(|(_, v)| lacks(v));
     ranks
-        .filter_map(|(rank, v)| match v.armed {
-            Some(turn) => Some(order(rank, v, Order::Disarm(turn.version))),
-            None if v.prepared == Some(goal.version) => None,
-            None => Some(order(rank, v, Order::Prepare(goal.version))),
-        })
+        .map(|(rank, v)| order(rank, v, Order::Prepare(goal.version)))
         .collect()
 }
 
+/// Arms ranks that are not armed, if all of them have prepared the map.
+fn arm(views: &[RankView], turn: Turn) -> Vec<Due> {
+    let unarmed = || views.iter().enumerate().filter(|(_, v)| v.armed.is_none());
+    if unarmed().any(|(_, v)| v.prepared != Some(turn.version)) {
+        return Vec::new();
+    }
+    unarmed().map(|(rank, v)| order(rank, v, Order::Arm(turn))).collect()
+}
+
 fn release(views: &[RankView], pass: u64) -> Vec<Due> {
     let holders = views.iter().enumerate().filter(|(_, v)| v.held == Some(pass));
     holders.map(|(rank, v)| order(rank, v, Order::Release(pass))).collect()
 }
 
-/// Whether a hold can be finished only with a goal.
-pub fn needs_goal(views: &[Option<RankView>]) -> bool {
+/// The pass to hold when the last one that this coordinator ordered to be held was `ordered`, with `lead` passes to go.
+///
+/// A rank has one hold at a time, and an order without an answer may still come. Another pass is therefore held only once
+/// the former one has begun and its late order would be refused.
+pub fn hold_pass(views: &[Option<RankView>], ordered: Option<u64>, lead: u64) -> u64 {
+    let last = views.iter().flatten().map(|v| v.pass).max().unwrap_or_default();
+    ordered.filter(|pass| *pass > last).unwrap_or(last + lead)
+}
+
+/// Whether a hold can be finished only with another goal than this one.
+pub fn needs_goal(views: &[Option<RankView>], goal: Option<Goal>) -> bool {
     let known: Vec<RankView> = views.iter().copied().flatten().collect();
-    let held = earliest_hold(&known).is_some();
-    held && known.len() == views.len() && due(views, None).is_empty()
+    let Some(pass) = earliest_hold(&known).filter(|_| known.len() == views.len()) else {
+        return false;
+    };
+    let newest = known
+        .iter()
+        .filter_map(|v| v.armed.map_or(v.prepared, |turn| Some(turn.version)))
+        .max();
+    goal.is_none_or(|g| newest > Some(g.version) || g.armed_for.is_some_and(|armed| armed != pass))
 }
 
 /// Goes towards the goal while nothing is held.
@@ -166,23 +210,17 @@
     let Some(goal) = goal.filter(|g| g.epoch == views[0].epoch) else {
         return Vec::new();
     };
-    let newer = views.iter().all(|v| v.in_force < goal.version && v.armed.is_none());
-    if !newer {
+    let open = |v: &RankView| v.in_force < goal.version && v.armed.is_none() && v.prepared <= Some(goal.version);
+    if !views.iter().all(open) {
         return Vec::new();
     }
-    let missing: Vec<Due> = views
-        .iter()
-        .enumerate()
-        .filter(|(_, v)| v.prepared != Some(goal.version))
-        .map(|(rank, v)| order(rank, v, Order::Prepare(goal.version)))
-        .collect();
-    if !missing.is_empty() {
-        return missing;
+    let unprepared = prepare(views, goal);
+    if !unprepared.is_empty() {
+        return unprepared;
     }
-    let last = views.iter().map(|v| v.pass).max().unwrap_or_default();
     let holder = views.get(goal.holder);
     holder
-        .map(|v| order(goal.holder, v, Order::Hold(last + goal.lead)))
+        .map(|v| order(goal.holder, v, Order::Hold(goal.pass)))
         .into_iter()
         .collect()
 }
--- /dev/null
+++ b/crates/expert-map/tests/held_switch.rs
@@ -0,0 +1,380 @@
+//! One map in every pass, whatever becomes of orders, views, coordinators and the group's membership.
+//!
+//! A model of a group's ranks is walked at random. Orders arrive at once, late or never; late ones are carried out after
+//! newer ones and without a look at the coordinator's number, since it is not known whether ranks look again. Two
+//! coordinators act on views of different age. The number of accepted orders never moves, as on ranks that do not count
+//! these orders, so nothing rests on it.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use sycamorestile_expert_map::held_switch::{self, Due, Goal, Order, RankView, Turn};
+
+const RANKS: usize = 4;
+const STEPS: usize = 400;
+
+#[derive(Debug, Clone, Copy)]
+struct Rank {
+    view: RankView,
+    /// Highest version that it ever prepared.
+    highest: u64,
+    /// Highest coordinator's number seen.
+    number: u64,
+}
+
+/// A fault planted in a coordinator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// Arms without a hold.
+    ArmsUnheld,
+    /// Releases when most ranks are armed.
+    ReleasesEarly,
+    /// Releases a hold for which nothing seems to be armed.
+    ReleasesUnarmed,
+    /// Orders another pass to be held while an earlier order may still come.
+    HoldsAgain,
+    /// Takes back what is armed though all ranks may still be armed for it.
+    DisarmsLive,
+    /// Takes what was ordered for done.
+    TrustsOrders,
+    /// Holds a pass that has begun elsewhere, and takes the refusal for a hold.
+    TakesRefusalForHold,
+}
+
+struct Coordinator {
+    number: u64,
+    views: Vec<Option<RankView>>,
+    goal: Option<Goal>,
+    made: u64,
+    /// The last pass that it ordered to be held.
+    held: Option<u64>,
+    fault: Fault,
+}
+
+struct World {
+    ranks: Vec<Rank>,
+    pass: u64,
+    late: Vec<(Due, u64)>,
+    switches: u64,
+    violated: bool,
+}
+
+impl World {
+    fn new() -> Self {
+        let view = RankView {
+            epoch: 1,
+            is_open: true,
+            pass: 0,
+            in_force: 0,
+            prepared: None,
+            armed: None,
+            held: None,
+            sequence: 0,
+        };
+        let rank = Rank {
+            view,
+            highest: 0,
+            number: 0,
+        };
+        Self {
+            ranks: vec![rank; RANKS],
+            pass: 0,
+            late: Vec::new(),
+            switches: 0,
+            violated: false,
+        }
+    }
+
+    fn begin_pass(&mut self) {
+        let next = self.pass + 1;
+        if self.ranks.iter().any(|r| r.view.held == Some(next)) {
+            return;
+        }
+        self.pass = next;
+        for rank in &mut self.ranks {
+            rank.view.pass = next;
+            if let Some(turn) = rank.view.armed.filter(|turn| turn.pass == next) {
+                rank.view.in_force = turn.version;
+                rank.view.armed = None;
+                rank.view.prepared = None;
+                self.switches += 1;
+            }
+        }
+        let first = self.ranks[0].view.in_force;
+        self.violated |= self.ranks.iter().any(|r| r.view.in_force != first);
+    }
+
+    fn new_epoch(&mut self) {
+        for rank in &mut self.ranks {
+            rank.view.epoch += 1;
+            rank.view.in_force = 0;
+            rank.view.prepared = None;
+            rank.view.armed = None;
+            rank.view.held = None;
+        }
+    }
+
+    /// Carries an order out, or refuses it as a rank would.
+    fn carry_out(&mut self, due: Due) -> bool {
+        let pass = self.pass;
+        let rank = &mut self.ranks[due.rank];
+        if due.epoch != 0 && due.epoch != rank.view.epoch {
+            return false;
+        }
+        match due.order {
+            Order::Prepare(version) if version > rank.highest && rank.view.armed.is_none() => {
+                rank.highest = version;
+                rank.view.prepared = Some(version);
+            }
+            Order::Hold(at) if at > pass => rank.view.held = Some(at),
+            Order::Arm(turn) if rank.view.prepared == Some(turn.version) && turn.pass > pass => {
+                rank.view.armed = Some(turn);
+            }
+            Order::Disarm(version) if rank.view.armed.is_some_and(|turn| turn.version == version) => {
+                rank.view.armed = None;
+            }
+            Order::Release(at) if rank.view.held == Some(at) => rank.view.held = None,
+            _ => return false,
+        }
+        true
+    }
+}
+
+impl Coordinator {
+    fn new(number: u64, fault: Fault) -> Self {
+        Self {
+            number,
+            views: vec![None; RANKS],
+            goal: None,
+            made: 0,
+            held: None,
+            fault,
+        }
+    }
+
+    fn refresh_goal(&mut self) {
+        let views: Option<Vec<RankView>> = self.views.iter().copied().collect();
+        let Some(views) = views else { return };
+        let epoch = views[0].epoch;
+        let reached = self
+            .goal
+            .is_none_or(|g| g.epoch != epoch || views.iter().all(|v| v.in_force >= g.version));
+        let known: Vec<Option<RankView>> = views.iter().copied().map(Some).collect();
+        if reached || held_switch::needs_goal(&known, self.goal) {
+            self.made += 1;
+            self.goal = Some(Goal {
+                version: self.number * 1_000 + self.made,
+                epoch,
+                holder: self.number as usize,
+                pass: 0,
+                armed_for: None,
+            });
+        }
+        if let Some(goal) = &mut self.goal {
+            let ordered = self.held.filter(|_| self.fault != Fault::HoldsAgain);
+            goal.pass = held_switch::hold_pass(&known, ordered, 2);
+        }
+    }
+
+    /// Orders, bent by the planted fault.
+    fn orders(&mut self) -> Vec<Due> {
+        self.refresh_goal();
+        let mut due = held_switch::due(&self.views, self.goal);
+        let held = due.iter().find_map(|d| match d.order {
+            Order::Hold(pass) => Some(pass),
+            _ => None,
+        });
+        self.held = held.or(self.held);
+        let armed = due.iter().find_map(|d| match d.order {
+            Order::Arm(turn) => Some(turn.pass),
+            _ => None,
+        });
+        if let Some(goal) = &mut self.goal {
+            goal.armed_for = armed.or(goal.armed_for);
+        }
+        let views: Vec<RankView> = self.views.iter().copied().flatten().collect();
+        if views.len() < RANKS {
+            return due;
+        }
+        let pass = views.iter().map(|v| v.pass).max().unwrap_or_default();
+        let held = views.iter().filter_map(|v| v.held).min();
+        let holder = views.iter().position(|v| v.held == held).unwrap_or_default();
+        let release = |pass: u64| Due {
+            rank: holder,
+            order: Order::Release(pass),
+            epoch: views[0].epoch,
+            sequence: 0,
+        };
+        match self.fault {
+            Fault::ArmsUnheld | Fault::TakesRefusalForHold => {
+                if let Some(Due {
+                    order: Order::Hold(at),
+                    epoch,
+                    ..
+                }) = due.first().copied()
+                {
+                    let version = self.goal.map_or(0, |g| g.version);
+                    let at = if self.fault == Fault::ArmsUnheld { at } else { pass + 1 };
+                    let turn = Turn { version, pass: at };
+                    due = (0..RANKS)
+                        .map(|rank| Due {
+                            rank,
+                            order: Order::Arm(turn),
+                            epoch,
+                            sequence: 0,
+                        })
+                        .collect();
+                }
+            }
+            Fault::ReleasesEarly => {
+                if let Some(at) = held.filter(|_| views.iter().filter(|v| v.armed.is_some()).count() + 1 >= RANKS) {
+                    due.push(release(at));
+                }
+            }
+            Fault::ReleasesUnarmed => {
+                if let Some(at) = held.filter(|_| views.iter().all(|v| v.armed.is_none())) {
+                    due.push(release(at));
+                }
+            }
+            Fault::DisarmsLive => {
+                let live = views
+                    .iter()
+                    .enumerate()
+                    .filter_map(|(rank, v)| v.armed.map(|turn| (rank, turn)));
+                due.extend(live.map(|(rank, turn)| Due {
+                    order: Order::Disarm(turn.version),
+                    rank,
+                    ..release(turn.pass)
+                }));
+            }
+            Fault::TrustsOrders => {
+                let arming = due.iter().any(|d| matches!(d.order, Order::Arm(_)));
+                if let Some(at) = held.filter(|_| arming) {
+                    due.push(release(at));
+                }
+            }
+            Fault::None | Fault::HoldsAgain => {}
+        }
+        due
+    }
+}
+
+/// Walks the model; gives back whether a pass began on two maps, and how many maps came into force.
+fn walk(seed: u64, fault: Fault) -> (bool, u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut world = World::new();
+    let mut coordinators = [Coordinator::new(1, fault), Coordinator::new(2, fault)];
+    let second = rng.random_range(0..STEPS);
+    for step in 0..STEPS {
+        let who = usize::from(step > second && rng.random::<f64>() < 0.7);
+        match rng.random_range(0..100) {
+            0..45 => {
+                let rank = rng.random_range(0..RANKS);
+                coordinators[who].views[rank] = Some(world.ranks[rank].view);
+            }
+            45..75 => {
+                let number = coordinators[who].number;
+                for due in coordinators[who].orders() {
+                    match rng.random_range(0..10) {
+                        0 => {}
+                        1 => world.late.push((due, number)),
+                        _ => {
+                            let rank = &mut world.ranks[due.rank];
+                            if number >= rank.number {
+                                rank.number = number;
+                                world.carry_out(due);
+                            }
+                        }
+                    }
+                }
+            }
+            75..85 => {
+                if !world.late.is_empty() {
+                    let at = rng.random_range(0..world.late.len());
+                    let (due, _) = world.late.swap_remove(at);
+                    world.carry_out(due);
+                }
+            }
+            85..98 => world.begin_pass(),
+            98 => {
+                if rng.random::<f64>() < 0.3 {
+                    world.new_epoch();
+                }
+            }
+            _ => coordinators[who].views = vec![None; RANKS],
+        }
+    }
+    (world.violated, world.switches / RANKS as u64)
+}
+
+/// Walks in a test of one fault.
+const WALKS: u64 = 8_000;
+
+#[test]
+fn no_pass_begins_on_two_maps() {
+    let mut switches = 0;
+    for seed in 0..WALKS {
+        let (violated, made) = walk(seed, Fault::None);
+        assert!(!violated, "seed {seed}: a pass began on two maps");
+        switches += made;
+    }
+    println!("{switches} maps came into force in {WALKS} walks");
+    assert!(switches > WALKS, "the walks hardly switch: {switches}");
+}
+
+#[rstest]
+fn planted_faults_are_found(
+    #[values(
+        Fault::ArmsUnheld,
+        Fault::ReleasesEarly,
+        Fault::ReleasesUnarmed,
+        Fault::HoldsAgain,
+        Fault::DisarmsLive,
+        Fault::TrustsOrders,
+        Fault::TakesRefusalForHold
+    )]
+    fault: Fault,
+) {
+    let found = (0..WALKS).find(|seed| walk(*seed, fault).0);
+    assert!(found.is_some(), "{fault:?} broke nothing in {WALKS} walks");
+    println!("{fault:?} found by seed {found:?}");
+}
+
+#[test]
+fn a_held_group_is_finished_by_whoever_comes() {
+    for seed in 0..500 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = World::new();
+        let mut first = Coordinator::new(1, Fault::None);
+        // The first coordinator is lost at some point of its switch.
+        for _ in 0..rng.random_range(1..12) {
+            first.views = world.ranks.iter().map(|r| Some(r.view)).collect();
+            for due in first.orders() {
+                if rng.random::<f64>() < 0.7 {
+                    world.carry_out(due);
+                }
+            }
+            if rng.random::<f64>() < 0.5 {
+                world.begin_pass();
+            }
+        }
+        let mut second = Coordinator::new(2, Fault::None);
+        for _ in 0..12 {
+            second.views = world.ranks.iter().map(|r| Some(r.view)).collect();
+            for due in second.orders() {
+                world.carry_out(due);
+            }
+        }
+        let pass = world.pass;
+        for _ in 0..8 {
+            world.begin_pass();
+            second.views = world.ranks.iter().map(|r| Some(r.view)).collect();
+            for due in second.orders() {
+                world.carry_out(due);
+            }
+        }
+        assert!(world.pass > pass, "seed {seed}: the group stands still");
+        assert!(!world.violated, "seed {seed}");
+    }
+}
--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -75,6 +75,10 @@
     since: Time,
     goal: Option<Goal>,
     sent: Vec<Sent>,
+    /// Rank of the agent that coordinates.
+    own_rank: usize,
+    /// The last pass that was ordered to be held.
+    ordered_hold: Option<u64>,
     /// Pass and time of the last look at the pace.
     pace_from: Option<(u64, Time)>,
     /// Passes a second.
@@ -97,6 +101,8 @@
             since: now,
             goal: None,
             sent: Vec::new(),
+            own_rank: membership.rank as usize,
+            ordered_hold: None,
             pace_from: None,
             pace: FIRST_PACE,
             log,
@@ -182,14 +188,22 @@
         if self.plans && now.since(self.planned) >= PLAN_INTERVAL {
             self.plan(&views, now);
         }
-        if self.goal.is_none() && self.plans && held_switch::needs_goal(&views) {
+        if held_switch::needs_goal(&views, self.goal.as_ref().map(|g| g.goal)) {
             self.keep_map(&views, now);
         }
-        let goal = self.goal.as_ref().map(|g| held_switch::Goal {
-            lead: self.lead(),
-            ..g.goal
-        });
+        let pass = held_switch::hold_pass(&views, self.ordered_hold, self.lead());
+        let goal = self.goal.as_ref().map(|g| held_switch::Goal { pass, ..g.goal });
         let due = held_switch::due(&views, goal);
+        if due.iter().any(|d| matches!(d.order, held_switch::Order::Hold(_))) {
+            self.ordered_hold = Some(pass);
+        }
+        let armed = due.iter().find_map(|d| match d.order {
+            held_switch::Order::Arm(turn) => Some(turn.pass),
+            _ => None,
+        });
+        if let Some(goal) = &mut self.goal {
+            goal.goal.armed_for = armed.or(goal.goal.armed_for);
+        }
         self.sent.retain(|s| now.since(s.at) < REPEAT);
         let fresh: Vec<held_switch::Due> = due.into_iter().filter(|d| !self.was_sent(d)).collect();
         self.sent.extend(fresh.iter().map(|due| Sent { due: *due, at: now }));
@@ -305,8 +319,9 @@
             goal: held_switch::Goal {
                 version: self.number * VERSIONS_PER_NUMBER + self.made,
                 epoch,
-                holder: 0,
-                lead: MIN_LEAD,
+                holder: self.own_rank,
+                pass: 0,
+                armed_for: None,
             },
             map: map.iter().map(lists).collect(),
             since: now,
