--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -71,12 +71,13 @@
         let answered = answer(Rc::clone(&handler_cx), handler_watch.clone(), req);
         async move { Ok::<_, Infallible>(answered.await) }
     });
+    // A connection that comes after the order to stop is answered once; it is not idle, its request is on the way.
+    let mut told_to_leave = *leaving.borrow();
     let connection = http1::Builder::new()
-        .keep_alive(!*leaving.borrow())
+        .keep_alive(!told_to_leave)
         .max_buf_size(limits(&cx).head_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(TokioIo::new(idle_watch::WatchedIo::new(stream, watch.clone())), handler);
     let mut connection = std::pin::pin!(connection);
-    let mut told_to_leave = false;
     loop {
         let limits = limits(&cx);
         let due = match watch.due(limits.head_timeout, limits.idle_timeout) {
