--- a/crates/core/src/direct/roster.rs
+++ b/crates/core/src/direct/roster.rs
@@ -10,7 +10,7 @@
 use crate::time;
 
 /// Time after the table's return within which a lapsed entry may come back; the platform promises about two seconds.
-pub const RETURN_TIME: Duration = Duration::from_millis(2_000);
+pub const RETURN_TIME: Duration = Duration::from_secs(2);
 
 #[derive(Debug, Clone)]
 struct Member {
--- a/crates/core/src/direct/table_clock.rs
+++ b/crates/core/src/direct/table_clock.rs
@@ -40,12 +40,11 @@
             let since = table.saturating_sub(mark.table);
             mark.own + since.mul_f64(1.0 - DRIFT)
         });
-        match by_mark.filter(|at| *at > sent) {
-            Some(at) => at,
-            None => {
-                self.mark = Some(Mark { own: sent, table });
-                sent
-            }
+        if let Some(at) = by_mark.filter(|at| *at > sent) {
+            at
+        } else {
+            self.mark = Some(Mark { own: sent, table });
+            sent
         }
     }
 
--- a/crates/core/tests/direct_event_cut.rs
+++ b/crates/core/tests/direct_event_cut.rs
@@ -56,5 +56,5 @@
 fn an_endless_event_is_an_error() {
     let mut cut = EventCut::default();
     let long = vec![b'x'; 2 << 20];
-    assert!(cut.feed(&long).is_err());
+    cut.feed(&long).unwrap_err();
 }
--- a/crates/expert-map/src/held_switch.rs
+++ b/crates/expert-map/src/held_switch.rs
@@ -135,15 +135,14 @@
         pass,
     };
     let foreign = views.iter().filter_map(|v| v.armed).filter(|turn| *turn != wanted);
-    match foreign.map(|turn| turn.version).min() {
-        Some(version) => clear(views, version, goal),
-        None => {
-            let unprepared = prepare(views, goal);
-            if unprepared.is_empty() {
-                arm(views, wanted)
-            } else {
-                unprepared
-            }
+    if let Some(version) = foreign.map(|turn| turn.version).min() {
+        clear(views, version, goal)
+    } else {
+        let unprepared = prepare(views, goal);
+        if unprepared.is_empty() {
+            arm(views, wanted)
+        } else {
+            unprepared
         }
     }
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -25,7 +25,7 @@
 /// Declarations: the wait bounds the age of the last confirmation, which has to stay well below the time within which a
 /// revoked key must stop (5 s), also when one call fails.
 const DECLARATIONS_PACE: feed::Pace = feed::Pace {
-    wait: Duration::from_millis(2_000),
+    wait: Duration::from_secs(2),
     gather: Duration::from_millis(100),
 };
 /// Endpoints: leaving ones are to get nothing new after two seconds, so entries may gather for less than half of that.
@@ -135,7 +135,6 @@
         let now = boot_clock::now();
         match (topic, event) {
             (port::Topic::Endpoints, feed::FeedEvent::Regained) => self.roster.regained(now),
-            (_, feed::FeedEvent::Lost | feed::FeedEvent::Regained) => {}
             (
                 port::Topic::Declarations,
                 feed::FeedEvent::Whole { as_of, rows } | feed::FeedEvent::Changes { as_of, rows },
@@ -161,8 +160,9 @@
                 self.find_gateways(&rows);
             }
             (port::Topic::Gateways, feed::FeedEvent::Changes { rows, .. }) => self.find_gateways(&rows),
-            // Not followed here.
-            (port::Topic::MapAgents | port::Topic::Leases, _) => {}
+            // Nothing follows from an outage itself, and the other topics are not followed here.
+            (_, feed::FeedEvent::Lost | feed::FeedEvent::Regained)
+            | (port::Topic::MapAgents | port::Topic::Leases, _) => {}
         }
     }
 
--- a/crates/gateway/src/drive.rs
+++ b/crates/gateway/src/drive.rs
@@ -589,12 +589,11 @@
                     drop(leg);
                     self.cx.placement.borrow_mut().failed(&id, boot_clock::now());
                     self.way.why = why;
-                    match self.resume().await {
-                        Some(next) => leg = next,
-                        None => {
-                            self.break_off().await;
-                            break "broke off";
-                        }
+                    if let Some(next) = self.resume().await {
+                        leg = next;
+                    } else {
+                        self.break_off().await;
+                        break "broke off";
                     }
                 }
             }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -63,16 +63,18 @@
     }
 }
 
+/// Kept connections by endpoint id, sorted.
+type Shelf = Rc<RefCell<Vec<(Arc<str>, Vec<Idle>)>>>;
+
 /// Kept connections of all endpoints.
 #[derive(Default)]
 pub(crate) struct Pool {
-    /// Sorted by endpoint id.
-    idle: Rc<RefCell<Vec<(Arc<str>, Vec<Idle>)>>>,
+    idle: Shelf,
 }
 
 /// A connection in use. It is closed when dropped, unless it was [given back](Lease::give_back).
 pub(crate) struct Lease {
-    idle: Rc<RefCell<Vec<(Arc<str>, Vec<Idle>)>>>,
+    idle: Shelf,
     connection: Connection,
     id: Arc<str>,
     addr: SocketAddr,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -27,27 +27,28 @@
 /// Body of an answer. The request counts as in flight for as long as it lives.
 pub(crate) struct AnswerBody {
     source: Source,
-    _in_flight: Option<(cx::InFlight, idle_watch::Busy)>,
+    /// Ends with the body.
+    held: Option<(cx::InFlight, idle_watch::Busy)>,
 }
 
 impl AnswerBody {
     pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
         Self {
             source: Source::Whole(Some(bytes.into()).filter(|b: &Bytes| !b.is_empty())),
-            _in_flight: None,
+            held: None,
         }
     }
 
     pub(crate) fn stream(rx: mpsc::Receiver<Result<Bytes, BrokenOff>>) -> Self {
         Self {
             source: Source::Stream(rx),
-            _in_flight: None,
+            held: None,
         }
     }
 
     /// Keeps the request in flight while the body is written.
     pub(crate) fn holding(mut self, in_flight: cx::InFlight, busy: idle_watch::Busy) -> Self {
-        self._in_flight = Some((in_flight, busy));
+        self.held = Some((in_flight, busy));
         self
     }
 }
--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -358,7 +358,7 @@
             }
         }
         if let Some(coordinator) = &self.coordinator {
-            let lead = self.lead_message(coordinator, now);
+            let lead = Self::lead_message(coordinator, now);
             self.send_to_peers(&lead).await;
         }
     }
@@ -405,7 +405,7 @@
         let Some(coordinator) = &self.coordinator else {
             return WATCH;
         };
-        let lead = self.lead_message(coordinator, now);
+        let lead = Self::lead_message(coordinator, now);
         self.send_to_peers(&lead).await;
         let missing = self
             .peers
@@ -420,7 +420,7 @@
         if busy { BUSY } else { REST }
     }
 
-    fn lead_message(&self, coordinator: &coordinator::Coordinator, now: Time) -> message::Message {
+    fn lead_message(coordinator: &coordinator::Coordinator, now: Time) -> message::Message {
         message::Message::Lead(message::Lead {
             group: Arc::clone(coordinator.group()),
             number: coordinator.number(),
@@ -488,7 +488,7 @@
     /// Asks a rank whose agent does not answer, after giving it an order if there is one.
     fn ask_directly(&mut self, addr: SocketAddr, order: Option<rank_port::RankOrder>) {
         if order.is_none() {
-            let asked = self.asked.iter().any(|a| *a == addr);
+            let asked = self.asked.contains(&addr);
             if asked {
                 return;
             }
--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -48,7 +48,8 @@
     at: Time,
 }
 
-struct Goal {
+/// A map on its way into force.
+struct Pursuit {
     goal: held_switch::Goal,
     map: rank_port::ExpertLists,
     since: Time,
@@ -73,7 +74,7 @@
     planned: Time,
     /// When it began to coordinate.
     since: Time,
-    goal: Option<Goal>,
+    pursuit: Option<Pursuit>,
     sent: Vec<Sent>,
     /// Rank of the agent that coordinates.
     own_rank: usize,
@@ -99,7 +100,7 @@
             planner: None,
             planned: now,
             since: now,
-            goal: None,
+            pursuit: None,
             sent: Vec::new(),
             own_rank: membership.rank as usize,
             ordered_hold: None,
@@ -130,7 +131,7 @@
     /// Whether a change is under way, so that states are wanted more often.
     pub(crate) fn is_busy(&self) -> bool {
         let held = |k: &Known| k.state.view.held.is_some() || k.state.view.armed.is_some();
-        self.goal.is_some() || self.ranks.iter().flatten().any(held)
+        self.pursuit.is_some() || self.ranks.iter().flatten().any(held)
     }
 
     /// Whether counts are due.
@@ -188,11 +189,11 @@
         if self.plans && now.since(self.planned) >= PLAN_INTERVAL {
             self.plan(&views, now);
         }
-        if held_switch::needs_goal(&views, self.goal.as_ref().map(|g| g.goal)) {
+        if held_switch::needs_goal(&views, self.pursuit.as_ref().map(|g| g.goal)) {
             self.keep_map(&views, now);
         }
         let pass = held_switch::hold_pass(&views, self.ordered_hold, self.lead());
-        let goal = self.goal.as_ref().map(|g| held_switch::Goal { pass, ..g.goal });
+        let goal = self.pursuit.as_ref().map(|g| held_switch::Goal { pass, ..g.goal });
         let due = held_switch::due(&views, goal);
         if due.iter().any(|d| matches!(d.order, held_switch::Order::Hold(_))) {
             self.ordered_hold = Some(pass);
@@ -201,7 +202,7 @@
             held_switch::Order::Arm(turn) => Some(turn.pass),
             _ => None,
         });
-        if let Some(goal) = &mut self.goal {
+        if let Some(goal) = &mut self.pursuit {
             goal.goal.armed_for = armed.or(goal.goal.armed_for);
         }
         self.sent.retain(|s| now.since(s.at) < REPEAT);
@@ -221,7 +222,7 @@
 
     fn order(&self, due: held_switch::Due) -> rank_port::RankOrder {
         let map = match due.order {
-            held_switch::Order::Prepare(_) => self.goal.as_ref().map(|g| g.map.clone()),
+            held_switch::Order::Prepare(_) => self.pursuit.as_ref().map(|g| g.map.clone()),
             _ => None,
         };
         rank_port::RankOrder {
@@ -242,7 +243,7 @@
 
     /// Drops a goal that is reached, of another epoch, or pursued for too long.
     fn review_goal(&mut self, views: &[Option<held_switch::RankView>], now: Time) {
-        let Some(goal) = &self.goal else { return };
+        let Some(goal) = &self.pursuit else { return };
         let known = || views.iter().flatten();
         let reached = known().count() == views.len() && known().all(|v| v.in_force >= goal.goal.version);
         let moved = known().any(|v| v.epoch != goal.goal.epoch);
@@ -250,7 +251,7 @@
         if reached || moved || late {
             info!(self.log, "map settled"; "version" => goal.goal.version, "reached" => reached, "epoch_moved" => moved,
                 "ms" => now.since(goal.since).as_millis() as u64);
-            self.goal = None;
+            self.pursuit = None;
         }
     }
 
@@ -288,7 +289,7 @@
             .planner
             .get_or_insert_with(|| group_planner::GroupPlanner::new(shape));
         planner.fold(period);
-        if self.goal.is_some() {
+        if self.pursuit.is_some() {
             return;
         }
         let Some((current, view)) = self.current(views) else {
@@ -315,7 +316,7 @@
             let ranks = placement.ranks().iter();
             ranks.map(|held| held.iter().map(|e| e.0).collect()).collect()
         };
-        self.goal = Some(Goal {
+        self.pursuit = Some(Pursuit {
             goal: held_switch::Goal {
                 version: self.number * VERSIONS_PER_NUMBER + self.made,
                 epoch,
--- a/crates/map-agent/src/rank_port.rs
+++ b/crates/map-agent/src/rank_port.rs
@@ -43,6 +43,9 @@
     pub spare: usize,
 }
 
+/// Experts of one rank by set.
+pub type RankLists = Vec<Vec<u32>>;
+
 /// Experts by set and rank.
 pub type ExpertLists = Vec<Vec<Vec<u32>>>;
 
@@ -71,7 +74,7 @@
     /// Path of the rank's own map.
     pub map_path: &'static str,
     /// Reads it: experts by set.
-    pub map: fn(&[u8]) -> Result<Vec<Vec<u32>>, port::Unreadable>,
+    pub map: fn(&[u8]) -> Result<RankLists, port::Unreadable>,
     /// Path of orders.
     pub order_path: &'static str,
     /// Writes an order.
