Streams are not sent on while their service is out; each send that came to nothing is logged

The log did not show the sends. Change: no further send while the service is out, the caller is told at once; ranks that can't be connected to count as witnesses of an outage; one line for each send that came to nothing, refusals carry what decided them.

--- a/crates/gateway/src/drive.rs
+++ b/crates/gateway/src/drive.rs
@@ -93,6 +93,21 @@
     tried: Vec<Arc<str>>,
     /// Why the last send came to nothing.
     why: &'static str,
+    /// What a refusal before any send was decided by.
+    detail: String,
+}
+
+impl Way {
+    /// Logs a send that gave nothing to hand on, and what follows from it.
+    fn came_to_nothing(&mut self, cx: &cx::Cx, why: &'static str, next: relay::Next) {
+        self.why = why;
+        let endpoint = self.tried.last().map(AsRef::as_ref);
+        let now = boot_clock::now();
+        info!(cx.log, "send came to nothing";
+            "request" => self.call.id(), "endpoint" => endpoint, "why" => why, "next" => format!("{next:?}"),
+            "sent" => self.relay.sent(), "under_way" => endpoint.map(|id| cx.placement.borrow().count(id, now)),
+            "ms" => now.since(self.call.started).as_millis() as u64);
+    }
 }
 
 /// Sends `call` and gives back the caller's answer.
@@ -102,9 +117,11 @@
         relay: relay::Relay::new(route.kind, route.max_attempts),
         tried: Vec::new(),
         why: "none",
+        detail: String::new(),
         call,
     };
     if let Some(problem) = admit(cx, &way.call) {
+        way.detail = problem.detail.clone();
         return conclude(cx, &way, refuse::response(cx, &problem), problem.kind.slug());
     }
     let mut last_event = way.call.head.last_event.clone();
@@ -117,7 +134,7 @@
                 return response;
             }
             Ok(Sent::Nothing { next, why, failure }) => {
-                way.why = why;
+                way.came_to_nothing(cx, why, next);
                 if let Some(reason) = stopped(cx, &way, next) {
                     let response = failure.map_or_else(|| give_up(cx, &way, reason), |failure| *failure);
                     return conclude(cx, &way, response, why);
@@ -162,12 +179,17 @@
         relay::Verdict::NotRun => problem::ProblemKind::NoEndpoint,
         relay::Verdict::Unknown => problem::ProblemKind::AnswerLost,
     };
+    let is_stream = way.call.grant.route.kind.is_stream();
+    let service = &way.call.grant.route.targets.first()?.service;
+    let now = boot_clock::now();
     match next {
         relay::Next::End(verdict) => Some(ended(verdict)),
+        // Every endpoint of the service would refuse as well, and only after a stall.
+        relay::Next::Send { .. } if is_stream && cx.with_outage(service, |o| o.is_out(now)) => {
+            Some(ended(way.relay.verdict()))
+        }
         relay::Next::Send { repeat: false } => None,
         relay::Next::Send { repeat: true } => {
-            let service = &way.call.grant.route.targets.first()?.service;
-            let now = boot_clock::now();
             let instances = cx.placement.borrow().live_peers(now) + 1;
             let instances = instances.max(cx.snapshot().gateways.len());
             if cx.with_retries(service, |share| share.spend(now, instances)) {
@@ -242,6 +264,9 @@
                 pool::ConnectError::Refused => "connection refused",
                 pool::ConnectError::Silent => "connection timed out",
             };
+            if e == pool::ConnectError::Silent {
+                cx.with_outage(&endpoint.service, |o| o.trouble(&endpoint.id, boot_clock::now()));
+            }
             return Ok(nothing(way.relay.not_sent(), why));
         }
     };
@@ -497,7 +522,7 @@
     info!(cx.log, "request ended";
         "request" => way.call.id(), "route" => way.call.grant.route.name.as_ref(), "kind" => way.call.kind(),
         "organisation" => way.call.organisation().map(AsRef::as_ref), "status" => status, "reason" => reason,
-        "last" => way.why, "endpoints" => way.tried.join(","), "sent" => way.relay.sent(),
+        "last" => way.why, "detail" => &way.detail, "endpoints" => way.tried.join(","), "sent" => way.relay.sent(),
         "ms" => took.as_millis() as u64, "left_ms" => way.call.deadline.since(now).as_millis() as u64,
         "version" => snapshot.declared.as_ref().map(|d| d.version),
         "age_ms" => snapshot.freshness.age(now).map(|a| a.as_millis() as u64));
@@ -588,8 +613,9 @@
                 LegEnd::Broken(why) => {
                     drop(leg);
                     self.cx.placement.borrow_mut().failed(&id, boot_clock::now());
-                    self.way.why = why;
-                    if let Some(next) = self.resume().await {
+                    let next = self.way.relay.lost();
+                    self.way.came_to_nothing(&self.cx, why, next);
+                    if let Some(next) = self.resume(next).await {
                         leg = next;
                     } else {
                         self.break_off().await;
@@ -649,9 +675,8 @@
     }
 
     /// Continues the stream at another endpoint after the last event that was handed on.
-    async fn resume(&mut self) -> Option<Leg> {
+    async fn resume(&mut self, mut next: relay::Next) -> Option<Leg> {
         self.cut.drop_partial();
-        let mut next = self.way.relay.lost();
         loop {
             if stopped(&self.cx, &self.way, next).is_some() {
                 return None;
@@ -681,7 +706,7 @@
                 }
                 Sent::Whole(_) => return None,
                 Sent::Nothing { next: after, why, .. } => {
-                    self.way.why = why;
+                    self.way.came_to_nothing(&self.cx, why, after);
                     next = after;
                 }
             }
