--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -27,7 +27,7 @@
 /// Age at which a rank's state no longer counts.
 const STATE_LIFE: Duration = Duration::from_millis(1_500);
 /// Time after which an order that shows no effect is given again.
-const REPEAT: Duration = Duration::from_millis(300);
+const REPEAT: Duration = Duration::from_millis(120);
 /// Time for which a map is pursued before a new one is planned instead.
 const GOAL_LIFE: Duration = Duration::from_secs(6);
 /// Interval at which counts are folded and plans are made.
--- a/crates/map-agent/src/rank.rs
+++ b/crates/map-agent/src/rank.rs
@@ -11,8 +11,11 @@
 use crate::message;
 use crate::rank_port;
 
-/// Time-out of a call to the rank beside this process. An order without an answer may still be carried out.
+/// Time-out of a question to the rank beside this process.
 const CALL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time-out of an order to it, which is answered within a few milliseconds or not at all. An order without an answer may
+/// still be carried out.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Why the rank's state is not known.
 #[derive(Debug, Error)]
@@ -80,7 +83,7 @@
     /// Gives the rank an order. Gives back whether a higher number was seen there.
     pub(crate) async fn order(&mut self, order: &rank_port::RankOrder) -> bool {
         let body = (self.port.order)(order);
-        let result = self.calls.post(self.port.order_path, body, CALL_TIMEOUT).await;
+        let result = self.calls.post(self.port.order_path, body, ORDER_TIMEOUT).await;
         let outdated = matches!(&result, Err(client::CallError::Refused(s)) if s.as_u16() == self.port.outdated);
         let outcome = result.err().map_or_else(|| "accepted".to_owned(), |e| e.to_string());
         let held_switch::Due {
