--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -7,9 +7,9 @@
 
 use crate::direct::placement;
 
-/// Streams that may wait at an endpoint, as a share of its slots, before further ones are refused: slots turn over fast
-/// enough for these to begin within their objective.
-const QUEUE_SHARE: f64 = 0.1;
+/// Share of an endpoint's slots up to which streams are begun. A shift of demand doubles the time of a pass until new maps
+/// are in force; with fuller batches that alone takes pauses over their objective, and every running stream is late.
+const FULL_SHARE: f64 = 0.85;
 /// Shortest wait that a refusal names.
 const MIN_WAIT: Duration = Duration::from_millis(300);
 /// Wait for each whole batch that is ahead.
@@ -26,7 +26,7 @@
 
 /// Decides on a stream for a service under `load`.
 pub fn stream(load: &placement::ServiceLoad) -> Admission {
-    if load.least < 1.0 + QUEUE_SHARE {
+    if load.least < FULL_SHARE {
         return Admission::Begin;
     }
     let ahead = f64::from(load.under_way) / f64::from(load.slots.max(1));
