--- a/crates/map-agent/src/rank.rs
+++ b/crates/map-agent/src/rank.rs
@@ -15,7 +15,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time-out of an order to it, which is answered within a few milliseconds or not at all. An order without an answer may
 /// still be carried out.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(25);
+/// Times that an order without an answer is given in a row. Doubles are refused or find the state as ordered.
+const ORDER_TRIES: usize = 4;
 
 /// Why the rank's state is not known.
 #[derive(Debug, Error)]
@@ -83,7 +85,13 @@
     /// Gives the rank an order. Gives back whether a higher number was seen there.
     pub(crate) async fn order(&mut self, order: &rank_port::RankOrder) -> bool {
         let body = (self.port.order)(order);
-        let result = self.calls.post(self.port.order_path, body, ORDER_TIMEOUT).await;
+        let mut result = self.calls.post(self.port.order_path, body.clone(), ORDER_TIMEOUT).await;
+        for _ in 1..ORDER_TRIES {
+            if !matches!(result, Err(client::CallError::Silent)) {
+                break;
+            }
+            result = self.calls.post(self.port.order_path, body.clone(), ORDER_TIMEOUT).await;
+        }
         let outdated = matches!(&result, Err(client::CallError::Refused(s)) if s.as_u16() == self.port.outdated);
         let outcome = result.err().map_or_else(|| "accepted".to_owned(), |e| e.to_string());
         let held_switch::Due {
