A frozen coordinator's hold is released by its successor

Ruled out: asking the rank directly (it does not answer), releasing without proof. Change: holds are announced and given from another instance, the own rank is armed last, a successor that finds a rank unarmed releases on the map in force.

--- a/crates/expert-map/src/held_switch.rs
+++ b/crates/expert-map/src/held_switch.rs
@@ -84,35 +84,70 @@
     pub version: u64,
     /// Epoch that it was planned for.
     pub epoch: u64,
-    /// Rank that takes the hold; each coordinator's own, so that two never hold the same one.
+    /// Rank that takes the hold: another one than the coordinator's, so that one instance can be lost, and another one for
+    /// each coordinator.
     pub holder: usize,
+    /// The coordinator's own rank, which it arms last.
+    pub own: usize,
     /// Pass to be held, as [`hold_pass`] says.
     pub pass: u64,
     /// Pass for which ranks were already ordered to arm for this version. It is never used for another one.
     pub armed_for: Option<u64>,
+    /// The last pass that this coordinator ordered to be released. It never arms for that one any more.
+    pub released: Option<u64>,
 }
 
+/// A coordinator that fell silent, and its rank with it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Absent {
+    /// Its rank. It arms this one last.
+    pub rank: usize,
+    /// Rank on which it announced a hold.
+    pub holder: usize,
+    /// Pass that it announced to hold.
+    pub pass: u64,
+    /// Versions of its maps and of all coordinators before it are below this.
+    pub versions_below: u64,
+}
+
+/// A rank that is known.
+type Seen = (usize, RankView);
+
 /// Orders that are due. `views` has an entry a rank, `None` where nothing is known.
-pub fn due(views: &[Option<RankView>], goal: Option<Goal>) -> Vec<Due> {
-    let Some(views) = views.iter().copied().collect::<Option<Vec<RankView>>>() else {
-        return Vec::new();
-    };
-    let Some(first) = views.first().copied() else {
+pub fn due(views: &[Option<RankView>], goal: Option<Goal>, absent: Option<Absent>) -> Vec<Due> {
+    let seen: Vec<Seen> = views
+        .iter()
+        .enumerate()
+        .filter_map(|(rank, v)| v.map(|v| (rank, v)))
+        .collect();
+    let Some((_, first)) = seen.first().copied() else {
         return Vec::new();
     };
-    let settled = views.iter().all(|v| v.epoch == first.epoch && v.is_open);
-    if !settled {
+    if !seen.iter().all(|(_, v)| v.epoch == first.epoch && v.is_open) {
         return Vec::new();
     }
-    match earliest_hold(&views) {
-        Some(pass) => finish(&views, pass, goal),
-        None => begin(&views, goal),
+    let goal = goal.filter(|g| g.epoch == first.epoch);
+    if seen.len() == views.len() {
+        return match earliest_hold(&seen) {
+            Some(pass) => finish(&seen, pass, goal),
+            None => goal.map_or_else(Vec::new, |goal| begin(&seen, goal)),
+        };
+    }
+    let alone = |absent: &Absent| seen.len() + 1 == views.len() && seen.iter().all(|(rank, _)| *rank != absent.rank);
+    match (absent.filter(alone), goal) {
+        (Some(absent), Some(goal)) => rescue(&seen, goal, absent),
+        _ => Vec::new(),
     }
 }
 
 /// The pass that is held, if any; the earliest where there are several.
-fn earliest_hold(views: &[RankView]) -> Option<u64> {
-    views.iter().filter_map(|v| v.held).min()
+fn earliest_hold(seen: &[Seen]) -> Option<u64> {
+    seen.iter().filter_map(|(_, v)| v.held).min()
+}
+
+/// Version that a rank is armed for or has prepared.
+fn newest(v: &RankView) -> Option<u64> {
+    v.armed.map_or(v.prepared, |turn| Some(turn.version))
 }
 
 /// Finishes the switch at a held pass.
@@ -121,65 +156,99 @@
 /// one pass only, so nobody then turns at this one. Short of that, all ranks are brought to the goal's
 /// map, whoever placed the hold: what a lost coordinator armed is not built upon, since its late orders may still come.
 /// A version that was disarmed is never armed again, so a late `Disarm` finds nothing.
-fn finish(views: &[RankView], pass: u64, goal: Option<Goal>) -> Vec<Due> {
-    let first = views[0].armed.filter(|turn| turn.pass >= pass);
-    if first.is_some() && views.iter().all(|v| v.armed == first) {
-        return release(views, pass);
+fn finish(seen: &[Seen], pass: u64, goal: Option<Goal>) -> Vec<Due> {
+    let first = seen[0].1.armed.filter(|turn| turn.pass >= pass);
+    if first.is_some() && seen.iter().all(|(_, v)| v.armed == first) {
+        return release(seen, pass);
     }
-    let usable = |g: &Goal| g.epoch == views[0].epoch && g.armed_for.is_none_or(|armed| armed == pass);
-    let Some(goal) = goal.filter(usable) else {
+    let Some(goal) = goal.filter(|g| g.armed_for.is_none_or(|armed| armed == pass)) else {
         return Vec::new();
     };
+    if goal.released >= Some(pass) {
+        // The order to release may be lost. It was given when nobody could turn at this pass.
+        let armed = seen.iter().any(|(_, v)| v.armed.is_some());
+        return if armed { Vec::new() } else { release(seen, pass) };
+    }
     let wanted = Turn {
         version: goal.version,
         pass,
     };
-    let foreign = views.iter().filter_map(|v| v.armed).filter(|turn| *turn != wanted);
+    let foreign = seen.iter().filter_map(|(_, v)| v.armed).filter(|turn| *turn != wanted);
     if let Some(version) = foreign.map(|turn| turn.version).min() {
-        clear(views, version, goal)
+        return clear(seen, version, goal);
+    }
+    let unprepared = prepare(seen, goal);
+    if unprepared.is_empty() {
+        arm(seen, wanted, goal.own)
     } else {
-        let unprepared = prepare(views, goal);
-        if unprepared.is_empty() {
-            arm(views, wanted)
-        } else {
-            unprepared
-        }
+        unprepared
     }
 }
 
 /// Takes back what is armed for `version`. That is safe once a rank has a newer version: it can't be armed for this one
 /// any more, so nobody ever finds all ranks armed for it.
-fn clear(views: &[RankView], version: u64, goal: Goal) -> Vec<Due> {
-    let newer = |v: &RankView| v.armed.map_or(v.prepared, |turn| Some(turn.version)) > Some(version);
-    if !views.iter().any(newer) {
-        return prepare(views, goal);
+fn clear(seen: &[Seen], version: u64, goal: Goal) -> Vec<Due> {
+    if !seen.iter().any(|(_, v)| newest(v) > Some(version)) {
+        return prepare(seen, goal);
     }
-    let armed = |v: &RankView| v.armed.is_some_and(|turn| turn.version == version);
-    let ranks = views.iter().enumerate().filter(|(_, v)| armed(v));
-    ranks.map(|(rank, v)| order(rank, v, Order::Disarm(version))).collect()
+    let armed = seen
+        .iter()
+        .filter(|(_, v)| v.armed.is_some_and(|turn| turn.version == version));
+    armed.map(|seen| order(seen, Order::Disarm(version))).collect()
 }
 
 /// Has ranks that are not armed prepare the goal's map.
-fn prepare(views: &[RankView], goal: Goal) -> Vec<Due> {
+fn prepare(seen: &[Seen], goal: Goal) -> Vec<Due> {
     let lacks = |v: &RankView| v.armed.is_none() && v.prepared < Some(goal.version);
-    let ranks = views.iter().enumerate().filter(|(_, v)| lacks(v));
-    ranks
-        .map(|(rank, v)| order(rank, v, Order::Prepare(goal.version)))
-        .collect()
+    let ranks = seen.iter().filter(|(_, v)| lacks(v));
+    ranks.map(|seen| order(seen, Order::Prepare(goal.version))).collect()
 }
 
-/// Arms ranks that are not armed, if all of them have prepared the map.
-fn arm(views: &[RankView], turn: Turn) -> Vec<Due> {
-    let unarmed = || views.iter().enumerate().filter(|(_, v)| v.armed.is_none());
-    if unarmed().any(|(_, v)| v.prepared != Some(turn.version)) {
+/// Arms ranks that are not armed, if all of them have prepared the map; the coordinator's own once all others are.
+fn arm(seen: &[Seen], turn: Turn, own: usize) -> Vec<Due> {
+    let unarmed: Vec<&Seen> = seen.iter().filter(|(_, v)| v.armed.is_none()).collect();
+    if unarmed.iter().any(|(_, v)| v.prepared != Some(turn.version)) {
         return Vec::new();
     }
-    unarmed().map(|(rank, v)| order(rank, v, Order::Arm(turn))).collect()
+    let (last, first): (Vec<&Seen>, Vec<&Seen>) = unarmed.into_iter().partition(|(rank, _)| *rank == own);
+    let turn_now = if first.is_empty() { last } else { first };
+    turn_now.into_iter().map(|seen| order(seen, Order::Arm(turn))).collect()
 }
 
-fn release(views: &[RankView], pass: u64) -> Vec<Due> {
-    let holders = views.iter().enumerate().filter(|(_, v)| v.held == Some(pass));
-    holders.map(|(rank, v)| order(rank, v, Order::Release(pass))).collect()
+fn release(seen: &[Seen], pass: u64) -> Vec<Due> {
+    let holders = seen.iter().filter(|(_, v)| v.held == Some(pass));
+    holders.map(|seen| order(seen, Order::Release(pass))).collect()
+}
+
+/// Releases the hold of a coordinator that fell silent with its rank, on the map in force.
+///
+/// It arms its own rank last, so a rank that is not armed proves that its own is not. Once such a rank has prepared a newer
+/// map it can't be armed for the old one, so the silent coordinator never gets to arm its own, also when it is back. When
+/// all known ranks have prepared the newer map, none turns at the held pass.
+fn rescue(seen: &[Seen], goal: Goal, absent: Absent) -> Vec<Due> {
+    let holds = |(rank, v): &Seen| match v.held {
+        Some(pass) => *rank == absent.holder && pass == absent.pass,
+        None => *rank != absent.holder,
+    };
+    let its_own = |(_, v): &Seen| {
+        let turn = v.armed.is_none_or(|turn| turn.pass == absent.pass);
+        let version = newest(v).is_none_or(|version| version < absent.versions_below || version == goal.version);
+        turn && version
+    };
+    let unarmed = seen.iter().any(|(_, v)| v.armed.is_none());
+    let usable = goal.armed_for.is_none() && goal.version >= absent.versions_below;
+    if !(usable && unarmed && seen.iter().all(holds) && seen.iter().all(its_own)) {
+        return Vec::new();
+    }
+    if let Some(version) = seen.iter().filter_map(|(_, v)| v.armed).map(|turn| turn.version).min() {
+        return clear(seen, version, goal);
+    }
+    let unprepared = prepare(seen, goal);
+    if unprepared.is_empty() {
+        release(seen, absent.pass)
+    } else {
+        unprepared
+    }
 }
 
 /// The pass to hold when the last one that this coordinator ordered to be held was `ordered`, with `lead` passes to go.
@@ -193,40 +262,38 @@
 
 /// Whether a hold can be finished only with another goal than this one.
 pub fn needs_goal(views: &[Option<RankView>], goal: Option<Goal>) -> bool {
-    let known: Vec<RankView> = views.iter().copied().flatten().collect();
-    let Some(pass) = earliest_hold(&known).filter(|_| known.len() == views.len()) else {
+    let seen: Vec<Seen> = views
+        .iter()
+        .enumerate()
+        .filter_map(|(rank, v)| v.map(|v| (rank, v)))
+        .collect();
+    let Some(pass) = earliest_hold(&seen) else {
         return false;
     };
-    let newest = known
-        .iter()
-        .filter_map(|v| v.armed.map_or(v.prepared, |turn| Some(turn.version)))
-        .max();
-    goal.is_none_or(|g| newest > Some(g.version) || g.armed_for.is_some_and(|armed| armed != pass))
+    let known = seen.iter().filter_map(|(_, v)| newest(v)).max();
+    goal.is_none_or(|g| known > Some(g.version) || g.armed_for.is_some_and(|armed| armed != pass))
 }
 
 /// Goes towards the goal while nothing is held.
-fn begin(views: &[RankView], goal: Option<Goal>) -> Vec<Due> {
-    let Some(goal) = goal.filter(|g| g.epoch == views[0].epoch) else {
-        return Vec::new();
-    };
+fn begin(seen: &[Seen], goal: Goal) -> Vec<Due> {
     let open = |v: &RankView| v.in_force < goal.version && v.armed.is_none() && v.prepared <= Some(goal.version);
-    if !views.iter().all(open) {
+    if !seen.iter().all(|(_, v)| open(v)) {
         return Vec::new();
     }
-    let unprepared = prepare(views, goal);
+    let unprepared = prepare(seen, goal);
     if !unprepared.is_empty() {
         return unprepared;
     }
-    let holder = views.get(goal.holder);
+    let holder = seen.iter().find(|(rank, _)| *rank == goal.holder);
     holder
-        .map(|v| order(goal.holder, v, Order::Hold(goal.pass)))
+        .map(|seen| order(seen, Order::Hold(goal.pass)))
         .into_iter()
         .collect()
 }
 
-fn order(rank: usize, view: &RankView, order: Order) -> Due {
+fn order((rank, view): &Seen, order: Order) -> Due {
     Due {
-        rank,
+        rank: *rank,
         order,
         epoch: view.epoch,
         sequence: view.sequence,
--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -6,7 +6,7 @@
 
 use slog::{Logger, info, warn};
 use sycamorestile_core::time::Time;
-use sycamorestile_expert_map::leadership;
+use sycamorestile_expert_map::{held_switch, leadership};
 use sycamorestile_table::{boot_clock, client, feed, port};
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
@@ -107,6 +107,8 @@
     is_held: bool,
     /// Whether the coordinator was changing maps when it was last heard.
     leads_busily: bool,
+    /// What was heard of its holds.
+    announced: Option<coordinator::Announced>,
     coordinator: Option<coordinator::Coordinator>,
     leases: client::Client,
     /// No call to the table is made before this time.
@@ -144,6 +146,7 @@
             membership: None,
             is_held: false,
             leads_busily: false,
+            announced: None,
             asked: Vec::new(),
             direct_tx,
             direct_rx,
@@ -265,6 +268,13 @@
         }
         self.heard = now;
         self.leads_busily = lead.is_busy;
+        if let Some(pass) = lead.holds {
+            self.announced = Some(coordinator::Announced {
+                number: lead.number,
+                rank: lead.rank,
+                pass,
+            });
+        }
         self.tell_state(from, lead.wants_counts).await;
     }
 
@@ -371,7 +381,8 @@
     }
 
     fn begin(&mut self, membership: &rank_port::Membership, number: u64, plans: bool, now: Time) {
-        let coordinator = coordinator::Coordinator::new(membership, number, plans, now, self.log.clone());
+        let mut coordinator = coordinator::Coordinator::new(membership, number, plans, now, self.log.clone());
+        coordinator.succeed(self.announced);
         self.coordinator = Some(coordinator);
     }
 
@@ -431,6 +442,8 @@
         message::Message::Lead(message::Lead {
             group: Arc::clone(coordinator.group()),
             number: coordinator.number(),
+            rank: coordinator.own_rank() as u32,
+            holds: coordinator.ordered_hold(),
             is_busy: coordinator.is_busy(),
             wants_counts: coordinator.wants_counts(now),
         })
@@ -443,9 +456,22 @@
         let orders = coordinator.orders(now);
         let addressed = orders.into_iter().map(|o| (coordinator.via(o.due.rank), o));
         let addressed: Vec<(Option<coordinator::Via>, rank_port::RankOrder)> = addressed.collect();
+        let holds = addressed
+            .iter()
+            .any(|(_, order)| matches!(order.due.order, held_switch::Order::Hold(_)));
+        if holds {
+            let lead = Self::lead_message(coordinator, now);
+            self.send_to_peers(&lead).await;
+        }
         let (large, small): (Vec<_>, Vec<_>) = addressed.into_iter().partition(|(_, order)| order.map.is_some());
         self.spread(large).await;
         for (via, order) in small {
+            // The giver of a hold and the rank that takes it are on two instances, so that one of them can be lost.
+            let via = if matches!(order.due.order, held_switch::Order::Hold(_)) {
+                via.map(|via| self.direct(via))
+            } else {
+                via
+            };
             match via {
                 Some(coordinator::Via::Agent(addr)) => {
                     self.send(&message::Message::Order(Box::new(order)), addr).await;
@@ -484,6 +510,13 @@
         }
     }
 
+    /// The direct way to a rank that is reached through its agent.
+    fn direct(&self, via: coordinator::Via) -> coordinator::Via {
+        let coordinator::Via::Agent(addr) = via else { return via };
+        let peer = self.peers.iter().find(|(_, w)| w.agent == addr);
+        peer.map_or(via, |(_, w)| coordinator::Via::Rank(w.rank))
+    }
+
     fn own_address(&self) -> Option<SocketAddr> {
         let own = self
             .peers
--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -48,6 +48,17 @@
     at: Time,
 }
 
+/// What an agent heard of a coordinator's holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Announced {
+    /// Number of the coordinator.
+    pub(crate) number: u64,
+    /// Its rank.
+    pub(crate) rank: u32,
+    /// The last pass that it ordered to be held.
+    pub(crate) pass: u64,
+}
+
 /// A map on its way into force.
 struct Pursuit {
     goal: held_switch::Goal,
@@ -80,6 +91,10 @@
     own_rank: usize,
     /// The last pass that was ordered to be held.
     ordered_hold: Option<u64>,
+    /// The last pass that was ordered to be released.
+    ordered_release: Option<u64>,
+    /// The coordinator before this one, which fell silent.
+    absent: Option<held_switch::Absent>,
     /// Pass and time of the last look at the pace.
     pace_from: Option<(u64, Time)>,
     /// Passes a second.
@@ -104,6 +119,8 @@
             sent: Vec::new(),
             own_rank: membership.rank as usize,
             ordered_hold: None,
+            ordered_release: None,
+            absent: None,
             pace_from: None,
             pace: FIRST_PACE,
             log,
@@ -115,6 +132,33 @@
         &self.group
     }
 
+    /// Notes what was heard of the coordinator before this one.
+    pub(crate) fn succeed(&mut self, announced: Option<Announced>) {
+        self.absent = announced
+            .filter(|a| a.number < self.number)
+            .map(|a| held_switch::Absent {
+                rank: a.rank as usize,
+                holder: self.holder_of(a.rank as usize),
+                pass: a.pass,
+                versions_below: (a.number + 1) * VERSIONS_PER_NUMBER,
+            });
+    }
+
+    /// Rank that takes the holds of the coordinator of `rank`.
+    fn holder_of(&self, rank: usize) -> usize {
+        (rank + 1) % self.ranks.len().max(1)
+    }
+
+    /// Its own rank.
+    pub(crate) fn own_rank(&self) -> usize {
+        self.own_rank
+    }
+
+    /// The last pass that it ordered to be held.
+    pub(crate) fn ordered_hold(&self) -> Option<u64> {
+        self.ordered_hold
+    }
+
     /// Its number.
     pub(crate) fn number(&self) -> u64 {
         self.number
@@ -193,8 +237,17 @@
             self.keep_map(&views, now);
         }
         let pass = held_switch::hold_pass(&views, self.ordered_hold, self.lead());
-        let goal = self.pursuit.as_ref().map(|g| held_switch::Goal { pass, ..g.goal });
-        let due = held_switch::due(&views, goal);
+        let goal = self.pursuit.as_ref().map(|g| held_switch::Goal {
+            pass,
+            released: self.ordered_release,
+            ..g.goal
+        });
+        let due = held_switch::due(&views, goal, self.absent);
+        let released = due.iter().find_map(|d| match d.order {
+            held_switch::Order::Release(pass) => Some(pass),
+            _ => None,
+        });
+        self.ordered_release = released.max(self.ordered_release);
         if due.iter().any(|d| matches!(d.order, held_switch::Order::Hold(_))) {
             self.ordered_hold = Some(pass);
         }
@@ -272,6 +325,44 @@
         Some((group_planner::from_lists(&lists, sizes.sets), first))
     }
 
+    /// The maps in force when one rank is silent, with the experts that nobody else holds in its place.
+    fn current_without(
+        &self,
+        views: &[Option<held_switch::RankView>],
+    ) -> Option<(group_planner::GroupMap, held_switch::RankView)> {
+        let (sizes, absent) = (self.sizes?, self.absent?);
+        let first = views.iter().flatten().next().copied()?;
+        let silent = views.get(absent.rank)?.is_none() && views.iter().flatten().count() + 1 == views.len();
+        let alike = views
+            .iter()
+            .flatten()
+            .all(|v| v.epoch == first.epoch && v.in_force == first.in_force);
+        if !silent || !alike {
+            return None;
+        }
+        let held = |set: usize, expert: u32| {
+            let others = self.ranks.iter().enumerate().filter(|(rank, _)| *rank != absent.rank);
+            let mut lists = others.filter_map(|(_, k)| k.as_ref()?.state.experts.get(set));
+            lists.any(|list| list.contains(&expert))
+        };
+        let missing = |set: usize| {
+            (0..sizes.experts as u32)
+                .filter(|e| !held(set, *e))
+                .collect::<Vec<u32>>()
+        };
+        let rest: Vec<Vec<u32>> = (0..sizes.sets).map(missing).collect();
+        let lists: Vec<Vec<Vec<u32>>> = self
+            .ranks
+            .iter()
+            .enumerate()
+            .map(|(rank, k)| match k {
+                Some(k) if rank != absent.rank => k.state.experts.clone(),
+                _ => rest.clone(),
+            })
+            .collect();
+        Some((group_planner::from_lists(&lists, sizes.sets), first))
+    }
+
     fn plan(&mut self, views: &[Option<held_switch::RankView>], now: Time) {
         let period = now.since(self.planned);
         self.planned = now;
@@ -304,7 +395,7 @@
 
     /// Makes the map in force a goal again, under a new version, to finish a hold that nothing else can finish.
     fn keep_map(&mut self, views: &[Option<held_switch::RankView>], now: Time) {
-        if let Some((current, view)) = self.current(views) {
+        if let Some((current, view)) = self.current(views).or_else(|| self.current_without(views)) {
             info!(self.log, "map kept to finish a hold"; "in_force" => view.in_force, "epoch" => view.epoch);
             self.pursue(&current, view.epoch, now);
         }
@@ -320,9 +411,11 @@
             goal: held_switch::Goal {
                 version: self.number * VERSIONS_PER_NUMBER + self.made,
                 epoch,
-                holder: self.own_rank,
+                holder: self.holder_of(self.own_rank),
+                own: self.own_rank,
                 pass: 0,
                 armed_for: None,
+                released: None,
             },
             map: map.iter().map(lists).collect(),
             since: now,
--- a/crates/map-agent/src/message.rs
+++ b/crates/map-agent/src/message.rs
@@ -28,6 +28,10 @@
     pub(crate) group: Arc<str>,
     /// Its number.
     pub(crate) number: u64,
+    /// Its own rank.
+    pub(crate) rank: u32,
+    /// The last pass that it orders to be held. Told before the order, so that a successor knows whose hold it finds.
+    pub(crate) holds: Option<u64>,
     /// Whether a change of maps is under way, so that its loss would be felt soon.
     pub(crate) is_busy: bool,
     /// Whether counts are wanted as well.
