--- a/crates/expert-map/src/group_planner.rs
+++ b/crates/expert-map/src/group_planner.rs
@@ -46,6 +46,8 @@
 pub struct GroupPlanner {
     shape: GroupShape,
     ranks: Vec<RankCounts>,
+    /// Times as long as usual that each rank takes for its work; at least 1.
+    slowness: Vec<f64>,
     /// Averaged loads, set by set; no unit.
     loads: Vec<f64>,
     /// Counts that came since the last fold.
@@ -72,6 +74,7 @@
         Self {
             shape,
             ranks: vec![RankCounts::default(); shape.ranks],
+            slowness: vec![1.0; shape.ranks],
             loads: vec![0.0; total],
             fresh: vec![0.0; total],
         }
@@ -98,6 +101,13 @@
         known.counts = counts.to_vec();
     }
 
+    /// Notes that a rank takes `slowness` times as long as usual.
+    pub fn slow(&mut self, rank: usize, slowness: f64) {
+        if let Some(known) = self.slowness.get_mut(rank) {
+            *known = slowness.max(1.0);
+        }
+    }
+
     /// Folds the counts of the last `period` into the averages.
     pub fn fold(&mut self, period: Duration) {
         let keep = time_constant::keep(period, AVERAGING);
@@ -117,7 +127,7 @@
         let skews = map
             .iter()
             .enumerate()
-            .map(|(set, placement)| placement.skew(self.set_loads(set)));
+            .map(|(set, placement)| placement.skew(self.set_loads(set), &self.slowness));
         skews.sum::<f64>() / self.shape.sets.max(1) as f64
     }
 
@@ -129,7 +139,9 @@
         let price = PRICE_OF_COPY / self.shape.ranks.max(1) as f64;
         let placements = current.iter().enumerate();
         let map: GroupMap = placements
-            .map(|(set, p)| rebalance::rebalance(p, self.set_loads(set), self.shape.bounds, price).placement)
+            .map(|(set, p)| {
+                rebalance::rebalance(p, self.set_loads(set), &self.slowness, self.shape.bounds, price).placement
+            })
             .collect();
         let (skew_before, skew_after) = (self.skew(current), self.skew(&map));
         let copies = map.iter().zip(current).map(|(new, old)| new.copies_from(old)).sum();
--- a/crates/expert-map/src/rebalance.rs
+++ b/crates/expert-map/src/rebalance.rs
@@ -57,17 +57,22 @@
         holders
     }
 
-    /// Load of each rank when an expert's load is shared evenly by its holders.
-    pub fn rank_loads(&self, loads: &[f64]) -> Vec<f64> {
+    /// Work of each rank when an expert's load is shared evenly by its holders, and a rank takes `slowness` times as long
+    /// as usual for it.
+    pub fn rank_loads(&self, loads: &[f64], slowness: &[f64]) -> Vec<f64> {
         let holders = self.holders(loads.len());
         let share = |e: &expert::Expert| loads[e.index()] / holders[e.index()].len() as f64;
-        self.ranks.iter().map(|held| held.iter().map(share).sum()).collect()
+        let ranks = self.ranks.iter().zip(slowness);
+        ranks
+            .map(|(held, slow)| slow * held.iter().map(share).sum::<f64>())
+            .collect()
     }
 
-    /// Largest rank load over the mean one; 1 when there is no load.
-    pub fn skew(&self, loads: &[f64]) -> f64 {
-        let ranks = self.rank_loads(loads);
-        let mean = ranks.iter().sum::<f64>() / ranks.len().max(1) as f64;
+    /// Largest work of a rank over what each would have if work were spread evenly over ranks of usual speed; 1 when there
+    /// is no load.
+    pub fn skew(&self, loads: &[f64], slowness: &[f64]) -> f64 {
+        let ranks = self.rank_loads(loads, slowness);
+        let mean = loads.iter().sum::<f64>() / ranks.len().max(1) as f64;
         let largest = ranks.iter().copied().fold(0.0, f64::max);
         if mean > 0.0 { largest / mean } else { 1.0 }
     }
@@ -102,6 +107,7 @@
 
 struct Search<'a> {
     loads: Vec<f64>,
+    slowness: &'a [f64],
     before: &'a Placement,
     placement: Placement,
     /// Ranks that hold each expert.
@@ -125,8 +131,9 @@
     pub considered: u64,
 }
 
-/// A new map from `before` for the experts' `loads`. `price` is the fall of the skew that pays for one copied expert.
-pub fn rebalance(before: &Placement, loads: &[f64], bounds: Bounds, price: f64) -> Rebalanced {
+/// A new map from `before` for the experts' `loads` on ranks that take `slowness` times as long as usual. `price` is the
+/// fall of the skew that pays for one copied expert.
+pub fn rebalance(before: &Placement, loads: &[f64], slowness: &[f64], bounds: Bounds, price: f64) -> Rebalanced {
     let mean = loads.iter().sum::<f64>() / before.ranks.len().max(1) as f64;
     if mean <= 0.0 {
         return Rebalanced {
@@ -137,7 +144,8 @@
     let loads: Vec<f64> = loads.iter().map(|load| load / mean).collect();
     let mut search = Search {
         holders: before.holders(loads.len()),
-        ranks: before.rank_loads(&loads),
+        ranks: before.rank_loads(&loads, slowness),
+        slowness,
         placement: before.clone(),
         loads,
         before,
@@ -256,9 +264,10 @@
         let count = holders.len() + usize::from(taker.is_some()) - usize::from(giver.is_some());
         let after = load / count as f64;
         let stay = holders.iter().filter(|rank| Some(**rank) != giver);
-        deltas.extend(stay.map(|rank| (*rank, after - before)));
-        deltas.extend(taker.map(|rank| (rank, after)));
-        deltas.extend(giver.map(|rank| (rank, -before)));
+        let slow = |rank: usize| self.slowness[rank];
+        deltas.extend(stay.map(|rank| (*rank, (after - before) * slow(*rank))));
+        deltas.extend(taker.map(|rank| (rank, after * slow(rank))));
+        deltas.extend(giver.map(|rank| (rank, -before * slow(rank))));
     }
 
     /// Fall of the smooth maximum of the rank loads.
--- a/crates/expert-map/tests/rebalance.rs
+++ b/crates/expert-map/tests/rebalance.rs
@@ -57,17 +57,18 @@
     #[case] new_per_rank: usize,
 ) {
     let bounds = Bounds { places, new_per_rank };
+    let even = vec![1.0; ranks];
     for seed in 0..10 {
         let mut map = dealt(ranks, experts);
         let loads = loads(experts, seed);
-        let first = map.skew(&loads);
+        let first = map.skew(&loads, &even);
         for _ in 0..6 {
-            let next = rebalance(&map, &loads, bounds, 0.0).placement;
+            let next = rebalance(&map, &loads, &even, bounds, 0.0).placement;
             check(&map, &next, experts, bounds);
-            assert!(next.skew(&loads) <= map.skew(&loads) + 1e-9);
+            assert!(next.skew(&loads, &even) <= map.skew(&loads, &even) + 1e-9);
             map = next;
         }
-        let last = map.skew(&loads);
+        let last = map.skew(&loads, &even);
         let shape = shape::Shape::new(ranks as u32, places as u32, experts as u32).expect("the experts fit");
         let full = baseline::full_plan(shape, &loads).skew(&loads);
         println!("{ranks} ranks, seed {seed}: skew {first:.2} to {last:.2}, planned anew without bounds {full:.2}");
@@ -86,9 +87,9 @@
         places: 8,
         new_per_rank: 3,
     };
-    let after = rebalance(&map, &[10.0; 72], bounds, 0.03).placement;
+    let after = rebalance(&map, &[10.0; 72], &[1.0; 12], bounds, 0.03).placement;
     assert_eq!(after.copies_from(&map), 0);
-    let idle = rebalance(&map, &[0.0; 72], bounds, 0.03).placement;
+    let idle = rebalance(&map, &[0.0; 72], &[1.0; 12], bounds, 0.03).placement;
     assert_eq!(idle, map);
 }
 
@@ -100,7 +101,11 @@
     };
     for seed in 0..10 {
         let (map, loads) = (dealt(12, 72), loads(72, seed));
-        let copies = |price| rebalance(&map, &loads, bounds, price).placement.copies_from(&map);
+        let copies = |price| {
+            rebalance(&map, &loads, &[1.0; 12], bounds, price)
+                .placement
+                .copies_from(&map)
+        };
         assert!(copies(0.1) <= copies(0.01), "seed {seed}");
     }
 }
@@ -112,10 +117,31 @@
         new_per_rank: 2,
     };
     let (map, loads) = (dealt(63, 252), loads(252, 1));
-    let plans = (0..8).map(|_| rebalance(&map, &loads, bounds, 0.006));
+    let plans = (0..8).map(|_| rebalance(&map, &loads, &[1.0; 63], bounds, 0.006));
     let considered: u64 = plans.map(|plan| plan.considered).sum();
     println!("8 sets of 252 experts on 63 ranks from scratch: {considered} changes considered");
     // A plan is made each 250 ms by 0.15 of a core, and a change takes some 60 ns to consider: 600,000 of them fit. A plan
     // from scratch comes once a membership, so it may take twice that.
     assert!(considered < 1_200_000, "{considered} changes considered");
 }
+
+#[test]
+fn a_slow_rank_gets_less_of_the_experts_work() {
+    let bounds = Bounds {
+        places: 8,
+        new_per_rank: 3,
+    };
+    for seed in 0..10 {
+        let loads = loads(72, seed);
+        let mut slowness = [1.0; 12];
+        slowness[4] = 2.0;
+        let mut map = dealt(12, 72);
+        for _ in 0..6 {
+            map = rebalance(&map, &loads, &slowness, bounds, 0.0).placement;
+        }
+        let work = map.rank_loads(&loads, &slowness);
+        let skew = map.skew(&loads, &slowness);
+        // Eleven ranks and a half do the work of twelve: 1.04 at best. A map that ignores the rank's speed has 2.
+        assert!(skew < 1.2, "seed {seed}: skew {skew}, work {work:?}");
+    }
+}
--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -207,7 +207,8 @@
             self.planner = None;
         }
         self.see_pace(&state.view, now);
-        if let Some(planner) = self.planner.as_mut().filter(|_| !state.counts.is_empty()) {
+        if let Some(planner) = self.planner.as_mut() {
+            planner.slow(rank, state.slowness);
             planner.observe(rank, state.born, &state.counts);
         }
         if let Some(slot) = self.ranks.get_mut(rank) {
@@ -290,6 +291,15 @@
         self.ranks.iter().map(|rank| rank.as_ref().and_then(fresh)).collect()
     }
 
+    /// Times as long as usual that the slowest rank takes for its work.
+    fn slowest(&self) -> f64 {
+        self.ranks
+            .iter()
+            .flatten()
+            .map(|k| k.state.slowness)
+            .fold(1.0, f64::max)
+    }
+
     fn lead(&self) -> u64 {
         MIN_LEAD + (self.pace * LEAD_TIME.as_secs_f64()).ceil() as u64
     }
@@ -389,7 +399,7 @@
         let Some(planner) = &self.planner else { return };
         let Some(plan) = planner.plan(&current) else { return };
         info!(self.log, "map planned"; "skew" => plan.skew_before, "skew_planned" => plan.skew_after, "copies" => plan.copies,
-            "in_force" => view.in_force, "epoch" => view.epoch, "pace" => self.pace);
+            "in_force" => view.in_force, "epoch" => view.epoch, "pace" => self.pace, "slowest" => self.slowest());
         self.pursue(&plan.map, view.epoch, now);
     }
 
--- a/crates/map-agent/src/message.rs
+++ b/crates/map-agent/src/message.rs
@@ -84,6 +84,8 @@
     pub(crate) view: held_switch::RankView,
     /// Its experts by set, in the map in force.
     pub(crate) experts: Vec<Vec<u32>>,
+    /// Times as long as usual that the rank takes for its work.
+    pub(crate) slowness: f64,
     /// When the rank was started.
     pub(crate) born: u64,
     /// How often its requests chose each expert since then, set by set; empty when not asked for.
--- a/crates/map-agent/src/rank.rs
+++ b/crates/map-agent/src/rank.rs
@@ -76,6 +76,7 @@
             membership,
             view: report.view,
             experts: self.experts.clone(),
+            slowness: report.slowness,
             born: report.born,
             counts,
             number,
--- a/crates/map-agent/src/rank_port.rs
+++ b/crates/map-agent/src/rank_port.rs
@@ -20,12 +20,14 @@
 }
 
 /// What a rank reports.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Report {
     /// `None` while the rank is in no group.
     pub membership: Option<Membership>,
     /// Its part in a change of maps.
     pub view: held_switch::RankView,
+    /// Times as long as usual that it takes for its work.
+    pub slowness: f64,
     /// When it was started, in milliseconds since the epoch.
     pub born: u64,
 }
