--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -7,6 +7,7 @@
 use slog::{Logger, info, warn};
 use sycamorestile_core::direct::{endpoint, roster};
 use sycamorestile_core::time;
+use sycamorestile_table::{boot_clock, client, feed, port};
 use tokio::runtime::Builder;
 use tokio::sync::{mpsc, watch};
 use tokio::time as timer;
@@ -14,10 +15,6 @@
 use crate::error;
 use crate::settings;
 use crate::snapshot;
-use sycamorestile_table::boot_clock;
-use sycamorestile_table::client;
-use sycamorestile_table::feed;
-use sycamorestile_table::port;
 
 /// Feed events that wait for the control thread.
 const QUEUE: usize = 64;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -12,6 +12,7 @@
 use sycamorestile_core::direct::access;
 use sycamorestile_core::problem;
 use sycamorestile_core::time::Time;
+use sycamorestile_table::boot_clock;
 use tokio::time;
 
 use crate::cx;
@@ -21,7 +22,6 @@
 use crate::pages;
 use crate::refuse;
 use crate::stream;
-use sycamorestile_table::boot_clock;
 
 /// Wait that a refusal names when the cause passes by itself: keys are confirmed again, endpoints come back.
 const SOON: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/pages.rs
+++ b/crates/gateway/src/pages.rs
@@ -5,10 +5,10 @@
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use sycamorestile_table::boot_clock;
 
 use crate::cx;
 use crate::stream;
-use sycamorestile_table::boot_clock;
 
 /// Answers one request of the pages address.
 pub(crate) fn answer(cx: &Rc<cx::Cx>, req: &Request<Incoming>) -> Response<stream::AnswerBody> {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,11 +8,11 @@
 
 use serde::{Deserialize, Serialize};
 use slog::{debug, warn};
+use sycamorestile_table::boot_clock;
 use tokio::net::UdpSocket;
 use tokio::time;
 
 use crate::cx;
-use sycamorestile_table::boot_clock;
 
 /// Least time between two rounds.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -13,13 +13,12 @@
 use socket2::SockRef;
 use sycamorestile_core::direct::endpoint;
 use sycamorestile_core::time;
+use sycamorestile_table::boot_clock;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time as timer;
 
-use sycamorestile_table::boot_clock;
-
 /// Time-out of a connection attempt; endpoints are a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle time of a kept connection when the endpoint names none.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info, warn};
 use sycamorestile_core::direct::{leaving, placement};
-use sycamorestile_table::boot_clock;
+use sycamorestile_table::{boot_clock, port};
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
@@ -27,7 +27,6 @@
 use crate::server;
 use crate::settings;
 use crate::snapshot;
-use sycamorestile_table::port;
 
 /// Time for which a leaving gateway goes on accepting: the balancer asks once a second and takes two misses to stop
 /// sending new connections.
