--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -17,6 +17,8 @@
 
 use crate::coordinator;
 use crate::error;
+use crate::lease;
+use crate::links;
 use crate::message;
 use crate::rank;
 use crate::rank_port;
@@ -28,15 +30,8 @@
 const BUSY: Duration = Duration::from_millis(50);
 /// Interval at which a follower looks whether its coordinator is gone.
 const WATCH: Duration = Duration::from_millis(200);
-/// Time-out of calls that take a number.
-const LEASE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause after a failed try to take a number.
 const LEASE_PAUSE: Duration = Duration::from_millis(500);
-/// Time-out of the call that writes this agent's own row: all agents may start at once, and a part of the table takes
-/// one write after the other.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Pause between two tries to write this agent's own row.
-const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 /// How the rows of other agents are followed.
 const AGENTS_PACE: feed::Pace = feed::Pace {
     wait: Duration::from_secs(25),
@@ -94,10 +89,8 @@
     settings: settings::Settings,
     table: port::Port,
     rank_port: rank_port::RankPort,
-    socket: UdpSocket,
+    links: links::Links,
     rank: rank::Rank,
-    /// Other agents, and this one.
-    peers: Vec<(Arc<str>, message::Whereabouts)>,
     sizes: Option<rank_port::MapSizes>,
     leadership: leadership::Leadership,
     /// When the coordinator was last heard.
@@ -110,15 +103,13 @@
     /// What was heard of its holds.
     announced: Option<coordinator::Announced>,
     coordinator: Option<coordinator::Coordinator>,
-    leases: client::Client,
+    leases: lease::LeaseTable,
     /// No call to the table is made before this time.
     lease_pause: Time,
     /// Ranks that are being asked directly.
     asked: Vec<SocketAddr>,
     direct_tx: mpsc::Sender<Direct>,
     direct_rx: mpsc::Receiver<Direct>,
-    /// Which agent comes first when a map is spread.
-    turn: usize,
     log: Logger,
 }
 
@@ -134,12 +125,11 @@
         let (direct_tx, direct_rx) = mpsc::channel(QUEUE);
         Self {
             rank: rank::Rank::new(settings.rank, rank_port, log.clone()),
-            leases: client::Client::new(settings.table),
+            leases: lease::LeaseTable::new(&settings, table, rank_port),
+            links: links::Links::new(socket, Arc::clone(&settings.instance), log.clone()),
             settings,
             table,
             rank_port,
-            socket,
-            peers: Vec::new(),
             sizes: None,
             leadership: leadership::Leadership::default(),
             heard: now,
@@ -150,7 +140,6 @@
             asked: Vec::new(),
             direct_tx,
             direct_rx,
-            turn: 0,
             coordinator: None,
             lease_pause: now,
             log,
@@ -169,7 +158,7 @@
             tx,
             self.log.clone(),
         ));
-        tokio::task::spawn_local(announce(self.settings.clone(), self.table, self.log.clone()));
+        tokio::task::spawn_local(lease::announce(self.settings.clone(), self.table, self.log.clone()));
         let mut buf = vec![0; MAX_DATAGRAM];
         let mut next = time::Instant::now() + WATCH;
         loop {
@@ -179,7 +168,7 @@
                         self.learn(event);
                     }
                 }
-                received = self.socket.recv_from(&mut buf) => match received {
+                received = self.links.socket.recv_from(&mut buf) => match received {
                     Ok((len, from)) => self.take(buf.get(..len).unwrap_or_default().to_vec(), from).await,
                     Err(e) => warn!(self.log, "datagram not received"; "error" => %e),
                 },
@@ -202,43 +191,18 @@
             feed::FeedEvent::Lost | feed::FeedEvent::Regained => return,
         };
         for row in rows {
-            self.learn_peer(&row);
+            self.links.learn(&row);
         }
     }
 
-    fn learn_peer(&mut self, row: &port::Row) {
-        self.peers.retain(|(instance, _)| *instance != row.key);
-        let text = row.value.as_ref().and_then(|v| std::str::from_utf8(v).ok());
-        if let Some(found) = text.and_then(message::Whereabouts::parse) {
-            // A new agent may come at the address of one that is gone.
-            self.peers.retain(|(_, known)| known.agent != found.agent);
-            self.peers.push((Arc::clone(&row.key), found));
-        }
-    }
-
-    /// Reads the sizes of maps from the declarations. They hardly ever change, so a coordinator reads them once.
+    /// Reads the sizes of maps. They hardly ever change, so a coordinator reads them once.
     async fn learn_sizes(&mut self) {
-        let read = (self.table.read)(port::Topic::Declarations, None);
-        let sizes = match self.leases.get(&read, LEASE_TIMEOUT).await {
-            Ok(body) => self.sizes_of(&body),
-            Err(e) => Err(e.to_string()),
-        };
-        match sizes {
+        match self.leases.sizes().await {
             Ok(sizes) => self.sizes = sizes,
-            Err(cause) => warn!(self.log, "sizes of maps not known"; "cause" => cause),
+            Err(e) => warn!(self.log, "sizes of maps not known"; "error" => %e),
         }
     }
 
-    fn sizes_of(&self, body: &[u8]) -> Result<Option<rank_port::MapSizes>, String> {
-        let page = (self.table.page)(body).map_err(|e| e.to_string())?;
-        let row = page
-            .rows
-            .iter()
-            .find(|row| row.key.as_ref() == self.table.declarations_key);
-        let value = row.and_then(|row| row.value.as_ref());
-        value.map_or(Ok(None), |v| (self.rank_port.sizes)(v).map_err(|e| e.to_string()))
-    }
-
     async fn take(&mut self, datagram: Vec<u8>, from: SocketAddr) {
         let now = boot_clock::now();
         match postcard::from_bytes::<message::Message>(&datagram) {
@@ -289,7 +253,7 @@
                 others: Vec::new(),
                 coordinator: relay.coordinator,
             };
-            self.send(&message::Message::Relay(Box::new(part)), addr).await;
+            self.links.send(&message::Message::Relay(Box::new(part)), addr).await;
         }
         self.carry_out(relay.order, relay.coordinator).await;
     }
@@ -308,7 +272,7 @@
 
     async fn tell_state(&mut self, to: SocketAddr, wants_counts: bool) {
         if let Some(state) = self.read_state(wants_counts).await {
-            self.send(&message::Message::State(Box::new(state)), to).await;
+            self.links.send(&message::Message::State(Box::new(state)), to).await;
         }
     }
 
@@ -358,7 +322,7 @@
     /// Takes a number from the table. With the table out of reach, finishes what a lost coordinator left under its
     /// number.
     async fn stand(&mut self, membership: &rank_port::Membership) {
-        let taken = self.take_number(&membership.group).await;
+        let taken = self.leases.take_number(&membership.group).await;
         let now = boot_clock::now();
         match taken {
             Ok(number) => {
@@ -366,9 +330,9 @@
                 self.heard = now;
                 self.begin(membership, number, true, now);
             }
-            Err(cause) => {
+            Err(e) => {
                 self.lease_pause = now + LEASE_PAUSE;
-                warn!(self.log, "number not taken"; "group" => membership.group.as_ref(), "cause" => cause);
+                warn!(self.log, "number not taken"; "group" => membership.group.as_ref(), "error" => %e);
                 if self.is_held && self.coordinator.is_none() {
                     self.begin(membership, self.leadership.number, false, now);
                 }
@@ -376,7 +340,7 @@
         }
         if let Some(coordinator) = &self.coordinator {
             let lead = Self::lead_message(coordinator, now);
-            self.send_to_peers(&lead).await;
+            self.links.send_to_all(&lead).await;
         }
     }
 
@@ -386,25 +350,6 @@
         self.coordinator = Some(coordinator);
     }
 
-    async fn take_number(&mut self, group: &Arc<str>) -> Result<u64, String> {
-        let read = (self.table.read)(port::Topic::Leases, None);
-        let body = self.leases.get(&read, LEASE_TIMEOUT).await.map_err(|e| e.to_string())?;
-        let page = (self.table.page)(&body).map_err(|e| e.to_string())?;
-        let known = page
-            .rows
-            .iter()
-            .find(|row| row.key == *group)
-            .map_or(0, |row| row.version);
-        let value = self.settings.instance.as_bytes();
-        let write = (self.table.write)(port::Topic::Leases, group, value, Some(known));
-        let body = self
-            .leases
-            .post(self.table.write_path, write, LEASE_TIMEOUT)
-            .await
-            .map_err(|e| e.to_string())?;
-        (self.table.written)(&body).map_err(|e| e.to_string())
-    }
-
     async fn lead(&mut self, membership: &rank_port::Membership, now: Time) -> Duration {
         if self.coordinator.as_ref().is_none_or(|c| c.group() != &membership.group) {
             let number = self.leadership.number;
@@ -424,12 +369,8 @@
             return WATCH;
         };
         let lead = Self::lead_message(coordinator, now);
-        self.send_to_peers(&lead).await;
-        let missing = self
-            .peers
-            .iter()
-            .map(|(_, w)| *w)
-            .filter(|w| coordinator.lacks(*w, now));
+        self.links.send_to_all(&lead).await;
+        let missing = self.links.whereabouts().filter(|w| coordinator.lacks(*w, now));
         let missing: Vec<SocketAddr> = missing.map(|w| w.rank).collect();
         for addr in missing {
             self.ask_directly(addr, None);
@@ -461,68 +402,26 @@
             .any(|(_, order)| matches!(order.due.order, held_switch::Order::Hold(_)));
         if holds {
             let lead = Self::lead_message(coordinator, now);
-            self.send_to_peers(&lead).await;
+            self.links.send_to_all(&lead).await;
         }
-        let (large, small): (Vec<_>, Vec<_>) = addressed.into_iter().partition(|(_, order)| order.map.is_some());
-        self.spread(large).await;
-        for (via, order) in small {
+        let mut maps = Vec::new();
+        for (via, order) in addressed {
             // The giver of a hold and the rank that takes it are on two instances, so that one of them can be lost.
             let via = if matches!(order.due.order, held_switch::Order::Hold(_)) {
-                via.map(|via| self.direct(via))
+                via.map(|via| self.links.direct(via))
             } else {
                 via
             };
             match via {
+                Some(coordinator::Via::Agent(addr)) if order.map.is_some() => maps.push((addr, order)),
                 Some(coordinator::Via::Agent(addr)) => {
-                    self.send(&message::Message::Order(Box::new(order)), addr).await;
+                    self.links.send(&message::Message::Order(Box::new(order)), addr).await;
                 }
                 Some(coordinator::Via::Rank(addr)) => self.ask_directly(addr, Some(order)),
                 None => {}
             }
         }
-    }
-
-    /// Gives orders that carry a map through a few agents, each of which hands them on to some others.
-    async fn spread(&mut self, orders: Vec<(Option<coordinator::Via>, rank_port::RankOrder)>) {
-        let mut relayed = Vec::new();
-        for (via, order) in orders {
-            match via {
-                Some(coordinator::Via::Agent(addr)) => relayed.push((addr, order)),
-                Some(coordinator::Via::Rank(addr)) => self.ask_directly(addr, Some(order)),
-                None => {}
-            }
-        }
-        let Some(own) = self.own_address() else { return };
-        // Another agent comes first each time, since the first one may be the one that is lost.
-        let turn = relayed.len().min(self.turn);
-        relayed.rotate_left(turn);
-        self.turn = (self.turn + 1) % relayed.len().max(1);
-        for part in relayed.chunks(relayed.len().isqrt().max(1)) {
-            let Some(((first, order), rest)) = part.split_first() else {
-                continue;
-            };
-            let relay = message::Relay {
-                order: order.clone(),
-                others: rest.iter().map(|(addr, order)| (*addr, order.due)).collect(),
-                coordinator: own,
-            };
-            self.send(&message::Message::Relay(Box::new(relay)), *first).await;
-        }
-    }
-
-    /// The direct way to a rank that is reached through its agent.
-    fn direct(&self, via: coordinator::Via) -> coordinator::Via {
-        let coordinator::Via::Agent(addr) = via else { return via };
-        let peer = self.peers.iter().find(|(_, w)| w.agent == addr);
-        peer.map_or(via, |(_, w)| coordinator::Via::Rank(w.rank))
-    }
-
-    fn own_address(&self) -> Option<SocketAddr> {
-        let own = self
-            .peers
-            .iter()
-            .find(|(instance, _)| *instance == self.settings.instance);
-        own.map(|(_, whereabouts)| whereabouts.agent)
+        self.links.spread(maps).await;
     }
 
     /// Asks a rank whose agent does not answer, after giving it an order if there is one.
@@ -568,40 +467,4 @@
             self.give_orders(now).await;
         }
     }
-
-    async fn send_to_peers(&self, message: &message::Message) {
-        for (_, peer) in &self.peers {
-            self.send(message, peer.agent).await;
-        }
-    }
-
-    async fn send(&self, message: &message::Message, to: SocketAddr) {
-        match postcard::to_stdvec(message) {
-            Ok(datagram) => {
-                // What is lost is asked for or ordered again.
-                if let Err(e) = self.socket.send_to(&datagram, to).await {
-                    warn!(self.log, "datagram not sent"; "to" => %to, "error" => %e);
-                }
-            }
-            Err(e) => warn!(self.log, "datagram can't be written"; "error" => %e),
-        }
-    }
-}
-
-/// Writes where this agent is, so that the others find it.
-async fn announce(settings: settings::Settings, table: port::Port, log: Logger) {
-    let mut calls = client::Client::new(settings.table);
-    let value = message::Whereabouts {
-        agent: settings.peers,
-        rank: settings.rank,
-    };
-    let value = value.to_text();
-    loop {
-        let body = (table.write)(port::Topic::MapAgents, &settings.instance, value.as_bytes(), None);
-        match calls.post(table.write_path, body, ANNOUNCE_TIMEOUT).await {
-            Ok(_) => return,
-            Err(e) => warn!(log, "own row not written, trying again"; "error" => %e),
-        }
-        time::sleep(ANNOUNCE_PAUSE).await;
-    }
 }
--- a/crates/map-agent/src/lib.rs
+++ b/crates/map-agent/src/lib.rs
@@ -19,6 +19,8 @@
 mod agent;
 mod coordinator;
 mod error;
+mod lease;
+mod links;
 mod message;
 mod rank;
 pub mod rank_port;
--- a/crates/map-agent/src/rank_port.rs
+++ b/crates/map-agent/src/rank_port.rs
@@ -83,6 +83,6 @@
     pub order: fn(&RankOrder) -> Vec<u8>,
     /// Status that says that a higher number was seen.
     pub outdated: u16,
-    /// Reads the sizes of a group's maps from the declarations.
-    pub sizes: fn(&[u8]) -> Result<Option<MapSizes>, port::Unreadable>,
+    /// Reads the sizes of a group's maps from the declarations, for a service or for the first that has maps.
+    pub sizes: fn(&[u8], Option<&str>) -> Result<Option<MapSizes>, port::Unreadable>,
 }
--- a/crates/map-agent/src/settings.rs
+++ b/crates/map-agent/src/settings.rs
@@ -12,6 +12,8 @@
     pub peers: SocketAddr,
     /// Address of this machine's rank.
     pub rank: SocketAddr,
+    /// Service that the rank belongs to, where the settings name it.
+    pub service: Option<Arc<str>>,
     /// Address of the platform's table.
     pub table: SocketAddr,
 }
