--- a/crates/map-agent/src/rank_port.rs
+++ b/crates/map-agent/src/rank_port.rs
@@ -62,6 +62,9 @@
     pub map: Option<ExpertLists>,
 }
 
+/// Sizes of maps, where a service has maps.
+pub type DeclaredSizes = Result<Option<MapSizes>, port::Unreadable>;
+
 /// The table of functions.
 #[derive(Debug, Clone, Copy)]
 pub struct RankPort {
@@ -84,5 +87,5 @@
     /// Status that says that a higher number was seen.
     pub outdated: u16,
     /// Reads the sizes of a group's maps from the declarations, for a service or for the first that has maps.
-    pub sizes: fn(&[u8], Option<&str>) -> Result<Option<MapSizes>, port::Unreadable>,
+    pub sizes: fn(&[u8], Option<&str>) -> DeclaredSizes,
 }
