Coordinators ask at most twelve ranks directly at once, and pace themselves by the size of the group

Change: twelve direct questions at once; intervals grow with the ranks (4 ms each at rest, 1.5 ms while busy).

--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -24,10 +24,16 @@
 use crate::rank_port;
 use crate::settings;
 
-/// Interval of a coordinator that is at rest.
+/// Interval of a coordinator that is at rest, at least.
 const REST: Duration = Duration::from_millis(125);
-/// Interval while a change is under way.
+/// Interval while a change is under way, at least.
 const BUSY: Duration = Duration::from_millis(50);
+/// Time that a coordinator's small share of a core needs for the states of one rank, for each interval at rest.
+const REST_PER_RANK: Duration = Duration::from_millis(4);
+/// The same while a change is under way, when states are shorter.
+const BUSY_PER_RANK: Duration = Duration::from_micros(1_500);
+/// Ranks that are asked directly at once. More would take the coordinator's time from those that do answer.
+const MAX_ASKED: usize = 12;
 /// Interval at which a follower looks whether its coordinator is gone.
 const WATCH: Duration = Duration::from_millis(200);
 /// Pause after a failed try to take a number.
@@ -376,7 +382,11 @@
             self.ask_directly(addr, None);
         }
         self.give_orders(now).await;
-        if busy { BUSY } else { REST }
+        if busy {
+            BUSY.max(BUSY_PER_RANK * membership.size)
+        } else {
+            REST.max(REST_PER_RANK * membership.size)
+        }
     }
 
     fn lead_message(coordinator: &coordinator::Coordinator, now: Time) -> message::Message {
@@ -427,8 +437,7 @@
     /// Asks a rank whose agent does not answer, after giving it an order if there is one.
     fn ask_directly(&mut self, addr: SocketAddr, order: Option<rank_port::RankOrder>) {
         if order.is_none() {
-            let asked = self.asked.contains(&addr);
-            if asked {
+            if self.asked.contains(&addr) || self.asked.len() >= MAX_ASKED {
                 return;
             }
             self.asked.push(addr);
