The wait for agents says what it saw last

Ruled out so far: plain load; three runs of that test at once beside six busy processes passed in 16 s each. Change: the wait prints the last status. The check and its bound are as before.

--- a/tests/all/support/cluster.rs
+++ b/tests/all/support/cluster.rs
@@ -222,13 +222,14 @@
     pub(crate) fn wait_ready(&self) {
         let wanted = self.agents.len();
         for index in 0..self.entries.len() {
-            wait::until("every agent is live at every entry", || {
+            wait::until_nothing("every agent is live at every entry", || {
                 let status = self.status(index);
                 let agents = status["agents"].as_array().map(Vec::as_slice).unwrap_or_default();
                 let live = agents
                     .iter()
                     .filter(|a| a["standing"] == "live" && a["revision"] == status["revision"]);
-                status["ready"] == true && live.count() == wanted
+                let is_ready = status["ready"] == true && live.count() == wanted;
+                (!is_ready).then(|| format!("entry {index}: {status}"))
             });
         }
     }
--- a/tests/all/support/wait.rs
+++ b/tests/all/support/wait.rs
@@ -17,3 +17,18 @@
         thread::sleep(Duration::from_millis(20));
     }
 }
+
+/// Waits until `check` has nothing to say, and says what it said last when it waits in vain.
+pub(crate) fn until_nothing<F>(what: &str, mut check: F)
+where
+    F: FnMut() -> Option<String>,
+{
+    let started = Instant::now();
+    while let Some(lack) = check() {
+        assert!(
+            started.elapsed() < PATIENCE,
+            "waited in vain: {what}; last seen: {lack}"
+        );
+        thread::sleep(Duration::from_millis(20));
+    }
+}
