Fields and functions that nothing reads are gone

The step model of engines, sizes of generations, connection bounds, objectives and pauses were decoded and never used by a decision; the status of a differing version likewise. They come back with the decision that needs them.

--- a/crates/core/src/direct/declarations.rs
+++ b/crates/core/src/direct/declarations.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::direct::credentials;
-use crate::direct::engine_model;
+use crate::direct::expert_model;
 use crate::direct::route_table;
 
 /// Bounds on what callers send and how long they take.
@@ -33,14 +33,12 @@
 }
 
 /// A declared service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DirectService {
     /// Name of the service.
     pub name: Arc<str>,
-    /// Connections that one of its endpoints accepts from all callers together.
-    pub max_connections: u32,
-    /// Present for model engines.
-    pub engine: Option<engine_model::EngineModel>,
+    /// Present for model services whose ranks hold experts.
+    pub experts: Option<expert_model::ExpertModel>,
 }
 
 /// One version of the declarations.
--- a/crates/core/src/direct/route.rs
+++ b/crates/core/src/direct/route.rs
@@ -53,10 +53,6 @@
     pub targets: Vec<Target>,
     /// Longest time that a caller is kept waiting.
     pub timeout: Duration,
-    /// Time to the first byte, or first event, within which an answer has its full worth.
-    pub objective: Duration,
-    /// Longest pause between two events of a timely stream.
-    pub max_pause: Option<Duration>,
     /// Endpoints to which one request may be sent, at least 1.
     pub max_attempts: u32,
     /// Zero is the most urgent.
--- a/crates/core/tests/direct_access.rs
+++ b/crates/core/tests/direct_access.rs
@@ -22,8 +22,6 @@
             weight: 1,
         }],
         timeout: Duration::from_secs(1),
-        objective: Duration::from_millis(100),
-        max_pause: None,
         max_attempts: 2,
         priority: 1,
         open,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -20,17 +20,6 @@
     pub key: Option<Arc<str>>,
     /// Event of a stream after which the caller wants to go on.
     pub last_event: Option<String>,
-    /// Size of a generation, where the caller tells it.
-    pub size: Option<GenerationSize>,
-}
-
-/// Size of a generation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct GenerationSize {
-    /// Tokens of the prompt.
-    pub prompt: u32,
-    /// Most tokens of the answer.
-    pub answer: u32,
 }
 
 /// A caller's header that can't be read.
--- a/crates/table/src/port.rs
+++ b/crates/table/src/port.rs
@@ -84,8 +84,7 @@
     pub write: fn(Topic, &str, &[u8], Option<u64>) -> Vec<u8>,
     /// Reads the version of an answer to it.
     pub written: fn(&[u8]) -> Result<u64, Unreadable>,
-    /// Status that says that the row has another version.
-    pub version_differs: u16,
+
     /// Status that says that the history asked for is gone.
     pub history_lost: u16,
     /// Reads an answer of `read` and `follow`.
