A request that was given up is taken back from its endpoint

The gateway closed such connections in the usual way, which delivers what was sent. A second kind: an endpoint ended its work at the caller's deadline, a millisecond before the gateway's own clock said so, and the request was sent on with that millisecond left. Ruled out: a caller's leaving that is noticed late (its connection's end drops the request within milliseconds); queues of the gateway (none). Change: connections to endpoints are reset when closed; a request with less than 15 ms left is not sent, and ends as past its deadline. A caller that leaves before an answer now leaves a line "request ended ... caller left" (499) in the log; that line was missing and had to be inferred from its absence.

--- a/crates/gateway/src/drive.rs
+++ b/crates/gateway/src/drive.rs
@@ -2,6 +2,7 @@
 //!
 //! [`relay::Relay`] decides what happens after each send; [`exchange`] does the sending, [`pump`] hands streams on.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use http::Response;
@@ -25,6 +26,8 @@
         tried: Vec::new(),
         why: "none",
         detail: String::new(),
+        ended: Cell::new(false),
+        cx: Rc::clone(cx),
         call,
     };
     if let Some(problem) = admit(cx, &way.call) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,6 +25,10 @@
 /// Longest wait for the head of a stream at one endpoint, beyond the time that a group stalls for a lost rank.
 const HEAD_MARGIN: Duration = Duration::from_millis(250);
 
+/// Time that a request must have left to be sent: what the quickest services take to answer. With less, its caller has
+/// gone before an endpoint reads it.
+const LEAST_LEFT: Duration = Duration::from_millis(15);
+
 /// Headers that concern one connection only.
 const HOP_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -68,7 +72,7 @@
     last_event: Option<&str>,
 ) -> Result<Sent, problem::ProblemKind> {
     let now = boot_clock::now();
-    if now >= way.call.deadline {
+    if way.call.deadline.since(now) < LEAST_LEFT {
         return Err(problem::ProblemKind::DeadlineBeforeStart);
     }
     let snapshot = cx.snapshot();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -94,6 +94,9 @@
         // Both only sharpen the time of failures; the connection works without them.
         let _nodelay = stream.set_nodelay(true);
         let _user_timeout = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+        // A request that was given up must not be read later by an endpoint that was suspended meanwhile, so closing a
+        // connection takes back what its other end has not read.
+        let _reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_closed| ConnectError::Refused)?;
         let driver = tokio::task::spawn_local(async move {
--- a/crates/gateway/src/way.rs
+++ b/crates/gateway/src/way.rs
@@ -1,5 +1,6 @@
 //! The state of one request on its way through endpoints, and how it ends.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +22,9 @@
 /// Wait that a refusal names when endpoints are out of reach or full.
 const ENDPOINT_WAIT: Duration = Duration::from_millis(500);
 
+/// Status in logs and metrics of a request that got no answer since its caller had left; never sent.
+const CALLER_LEFT: u16 = 499;
+
 /// A request's place at an endpoint. Gives the place up when dropped.
 pub(crate) struct Place {
     pub(crate) cx: Rc<cx::Cx>,
@@ -43,6 +47,21 @@
     pub(crate) why: &'static str,
     /// What a refusal before any send was decided by.
     pub(crate) detail: String,
+    /// Whether its end was logged.
+    pub(crate) ended: Cell<bool>,
+    pub(crate) cx: Rc<cx::Cx>,
+}
+
+impl Drop for Way {
+    /// Logs the end of a request whose caller left before there was an answer: its task is dropped with the caller's
+    /// connection.
+    fn drop(&mut self) {
+        if !self.ended.get() {
+            let took = boot_clock::now().since(self.call.started);
+            self.cx.metrics.outcome(CALLER_LEFT, "caller left");
+            log_end(&self.cx, self, CALLER_LEFT, "caller left", took);
+        }
+    }
 }
 
 impl Way {
@@ -92,7 +111,11 @@
     // Whatever the reason, only a request that no endpoint can have run is called not run.
     let kind = match way.relay.verdict() {
         relay::Verdict::NotRun => kind,
-        relay::Verdict::Unknown if boot_clock::now() >= way.call.deadline => problem::ProblemKind::DeadlineAfterStart,
+        relay::Verdict::Unknown
+            if kind == problem::ProblemKind::DeadlineBeforeStart || boot_clock::now() >= way.call.deadline =>
+        {
+            problem::ProblemKind::DeadlineAfterStart
+        }
         relay::Verdict::Unknown => problem::ProblemKind::AnswerLost,
     };
     let problem = if kind.passes_with_time() {
@@ -127,6 +150,7 @@
 }
 
 pub(crate) fn log_end(cx: &cx::Cx, way: &Way, status: u16, reason: &str, took: Duration) {
+    way.ended.set(true);
     let snapshot = cx.snapshot();
     let now = boot_clock::now();
     info!(cx.log, "request ended";
