Counts are looked at twice as often

Cause: a shift was noticed up to half a second late: counts were asked for at one tick, folded at the next, every second tick. Change: looks 120 ms apart (250), 80 ms while demand settles (125).

--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -31,9 +31,9 @@
 /// Time for which a map is pursued before a new one is planned instead.
 const GOAL_LIFE: Duration = Duration::from_secs(6);
 /// Interval at which counts are folded and plans are made.
-const PLAN_INTERVAL: Duration = Duration::from_millis(250);
+const PLAN_INTERVAL: Duration = Duration::from_millis(120);
 /// The same while demand has just moved: the counts of two passes show where it went.
-const SETTLING_INTERVAL: Duration = Duration::from_millis(125);
+const SETTLING_INTERVAL: Duration = Duration::from_millis(80);
 /// Time from a hold to the pass that it holds, in which all ranks are to be armed.
 const LEAD_TIME: Duration = Duration::from_millis(80);
 /// Fewest passes between a hold and its pass.
