States come every 50 ms from large groups while maps change

Cause: of half a second from plan to force, copying takes 0.2 to 0.3 s; each further step (hold, arm, release) waits for the next states, 94 ms apart with 63 ranks. Change: 50 ms.

--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -31,7 +31,7 @@
 /// Time that a coordinator's small share of a core needs for the states of one rank, for each interval at rest.
 const REST_PER_RANK: Duration = Duration::from_millis(2);
 /// The same while a change is under way, when states are shorter.
-const BUSY_PER_RANK: Duration = Duration::from_micros(1_500);
+const BUSY_PER_RANK: Duration = Duration::from_micros(800);
 /// Ranks that are asked directly at once. More would take the coordinator's time from those that do answer.
 const MAX_ASKED: usize = 12;
 /// Interval at which a follower looks whether its coordinator is gone.
