An urgent map copies one expert a rank and set

Cause: half of the time from plan to force goes to copying two experts of each set to some rank (0.2 to 0.3 s on the grown sites), while passes take pauses over their objective. Change: from a mean skew of 2 on, a map brings one new expert a rank and set; the next map brings the rest. Test: an_urgent_map_copies_one_expert_a_rank_and_the_next_one_the_rest.

--- a/crates/expert-map/src/group_planner.rs
+++ b/crates/expert-map/src/group_planner.rs
@@ -28,6 +28,12 @@
 /// Least fall of the mean skew that is worth a switch, which slows the group while experts are copied.
 const LEAST_FALL: f64 = 0.05;
 
+/// Mean skew from which on a map is urgent: passes take pauses over their objective until it is in force.
+const URGENT_SKEW: f64 = 2.0;
+/// New experts of a set that a rank copies for an urgent map. Half as many are there in half the time, and the next map
+/// brings the rest.
+const NEW_WHEN_URGENT: usize = 1;
+
 /// Size of a group's maps.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GroupShape {
@@ -183,11 +189,10 @@
             return None;
         }
         let price = PRICE_OF_COPY / self.shape.ranks.max(1) as f64;
+        let bounds = self.bounds_at(self.skew(current));
         let placements = current.iter().enumerate();
         let map: GroupMap = placements
-            .map(|(set, p)| {
-                rebalance::rebalance(p, self.set_loads(set), &self.slowness, self.shape.bounds, price).placement
-            })
+            .map(|(set, p)| rebalance::rebalance(p, self.set_loads(set), &self.slowness, bounds, price).placement)
             .collect();
         let (skew_before, skew_after) = (self.skew(current), self.skew(&map));
         let copies = map.iter().zip(current).map(|(new, old)| new.copies_from(old)).sum();
@@ -199,6 +204,18 @@
         })
     }
 
+    /// Bounds of the next map when the map in force has this mean skew.
+    fn bounds_at(&self, skew: f64) -> rebalance::Bounds {
+        let bounds = self.shape.bounds;
+        if skew < URGENT_SKEW {
+            return bounds;
+        }
+        rebalance::Bounds {
+            new_per_rank: bounds.new_per_rank.min(NEW_WHEN_URGENT),
+            ..bounds
+        }
+    }
+
     fn set_loads(&self, set: usize) -> &[f64] {
         self.part(&self.loads, set)
     }
--- a/crates/expert-map/tests/shifts.rs
+++ b/crates/expert-map/tests/shifts.rs
@@ -115,3 +115,27 @@
     group.planner.fold(LOOK);
     assert!(!group.planner.is_settling());
 }
+
+#[test]
+fn an_urgent_map_copies_one_expert_a_rank_and_the_next_one_the_rest() {
+    let new = demand(3);
+    let mut group = Group::new();
+    group.look(&new, &new, 1.0);
+    let map = in_turn();
+    let before = group.planner.skew(&map);
+    assert!(before >= 2.0, "{before}");
+    let first = group.planner.plan(&map).expect("the demand is uneven");
+    let copied = |new: &group_planner::GroupMap, old: &group_planner::GroupMap| {
+        let ranks = new[0].ranks().iter().zip(old[0].ranks());
+        let most = ranks
+            .map(|(new, old)| new.iter().filter(|e| !old.contains(e)).count())
+            .max();
+        most.expect("there are ranks")
+    };
+    assert_eq!(copied(&first.map, &map), 1);
+    assert!(first.skew_after < before, "{first:?}");
+    group.look(&new, &new, 1.0);
+    if let Some(second) = group.planner.plan(&first.map) {
+        assert!(second.skew_after < first.skew_after, "{second:?}");
+    }
+}
