One gateway of a failure domain reads the declarations for all

Ruled out: longer waits for all (confirmations would be too old for keys to be honoured when a call fails). Change: the first gateway of a domain by name reads often and tells the others, in the datagrams that they exchange anyway, which version was the newest at which reading of the table's clock (core::direct::confirmation). The others wait for changes in calls of 25 s, read at once when they hear of a newer version or when their last confirmation is 2.9 s old, and take over when the reader falls silent. A confirmation is placed on the own time line by an own read of the same clock, never later than it was (property test); a clock that began anew places nothing. The reader's interval follows from the time within which revoked keys must stop. Found on the way: after declarations that could not be read, the next empty answer confirmed the older ones.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -13,6 +13,7 @@
 pub mod access;
 pub mod admission;
 pub mod answer_class;
+pub mod confirmation;
 pub mod credentials;
 pub mod declarations;
 pub mod endpoint;
--- /dev/null
+++ b/crates/core/tests/direct_confirmation.rs
@@ -0,0 +1,114 @@
+//! Confirmations of the declarations that one gateway of a failure domain reads and the others take over.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use sycamorestile_core::direct::confirmation;
+use sycamorestile_core::direct::freshness;
+use sycamorestile_core::time::Time;
+
+/// Time within which a revoked key must stop.
+const KEY_BOUND: Duration = Duration::from_secs(5);
+
+fn watch(name: &str) -> confirmation::ConfirmationWatch {
+    confirmation::ConfirmationWatch::new(Arc::from(name), confirmation::reader_interval(KEY_BOUND))
+}
+
+fn name(text: &str) -> Arc<str> {
+    Arc::from(text)
+}
+
+const fn ms(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+#[test]
+fn one_reader_is_enough_and_the_next_takes_over_when_it_falls_silent() {
+    let mut second = watch("gateway-2");
+    assert!(second.is_reader(ms(0)));
+    second.hear(&name("gateway-3"), 1, ms(0));
+    assert!(second.is_reader(ms(0)), "names that come later do not read for it");
+    second.hear(&name("gateway-1"), 1, ms(100));
+    assert!(!second.is_reader(ms(2_000)));
+    assert!(second.is_reader(ms(3_000)));
+}
+
+#[test]
+fn a_reading_that_is_told_again_does_not_keep_a_reader_alive() {
+    let mut second = watch("gateway-2");
+    for step in 0..20 {
+        second.hear(&name("gateway-1"), 7, ms(step * 250));
+    }
+    assert!(second.is_reader(ms(5_000)));
+}
+
+#[test]
+fn nothing_can_be_placed_before_the_first_own_read_or_by_a_clock_that_began_anew() {
+    let mut watch = watch("gateway-2");
+    assert_eq!(watch.place(Duration::from_secs(10), ms(100)), None);
+    watch.read(ms(1_000), Duration::from_secs(10));
+    // Read before the own read: of no use.
+    assert_eq!(watch.place(Duration::from_secs(9), ms(1_100)), None);
+    // Ahead of what can have passed: the clock is another one.
+    assert_eq!(watch.place(Duration::from_secs(60), ms(1_100)), None);
+    let placed = watch
+        .place(Duration::from_millis(10_500), ms(2_000))
+        .expect("it is placed");
+    assert!(placed <= ms(1_500) && placed >= ms(1_499), "{placed:?}");
+}
+
+#[test]
+fn an_instance_reads_for_itself_well_before_its_keys_end() {
+    let mut watch = watch("gateway-2");
+    let mut freshness = freshness::Freshness::default();
+    freshness.confirm(ms(0));
+    let asked = (0..5_000).step_by(250).find(|at| {
+        let now = ms(*at);
+        watch.asks(freshness.age(now), false, now)
+    });
+    let asked = asked.expect("it asks");
+    // Two calls of 0.7 s may fail before keys are no longer honoured.
+    assert!(
+        freshness.allows_keys(ms(asked + 1_400), KEY_BOUND),
+        "asked at {asked} ms"
+    );
+    assert!(
+        !watch.asks(Some(Duration::from_secs(9)), false, ms(asked + 100)),
+        "one read at a time"
+    );
+}
+
+#[test]
+fn a_newer_version_is_read_at_once() {
+    let mut watch = watch("gateway-2");
+    assert!(watch.asks(Some(Duration::ZERO), true, ms(10)));
+    assert!(!watch.asks(Some(Duration::ZERO), true, ms(20)));
+    assert!(watch.asks(Some(Duration::ZERO), true, ms(900)));
+}
+
+proptest! {
+    /// Whatever the delays and the drift of the clocks, a confirmation is never placed later than the table was read.
+    #[test]
+    fn confirmations_are_never_placed_too_late(
+        origin in 0_u64..1_000_000,
+        drift in -150.0..150.0_f64,
+        own_sent in 0_u64..10_000,
+        own_way in 0_u64..2_000,
+        read_after in 0_u64..100_000,
+        told_after in 0_u64..5_000,
+    ) {
+        // The table's clock, seen from the instance's own line.
+        let table = |own_ms: u64| {
+            Duration::from_secs_f64((origin as f64 + own_ms as f64 * (1.0 + drift * 1e-6)) / 1e3)
+        };
+        let mut watch = watch("gateway-2");
+        // The table was read some time after the call was sent.
+        watch.read(ms(own_sent), table(own_sent + own_way));
+        let read_at = own_sent + own_way + read_after;
+        let now = ms(read_at + told_after);
+        if let Some(placed) = watch.place(table(read_at), now) {
+            prop_assert!(placed <= ms(read_at), "{placed:?} against {read_at}");
+        }
+    }
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
-use sycamorestile_core::direct::{endpoint, roster};
+use sycamorestile_core::direct::{confirmation, endpoint, roster};
 use sycamorestile_core::time;
 use sycamorestile_table::{boot_clock, client, feed, port};
 use tokio::runtime::Builder;
@@ -19,12 +19,8 @@
 /// Feed events that wait for the control thread.
 const QUEUE: usize = 64;
 
-/// Declarations: the wait bounds the age of the last confirmation, which has to stay well below the time within which a
-/// revoked key must stop (5 s), also when one call fails.
-const DECLARATIONS_PACE: feed::Pace = feed::Pace {
-    wait: Duration::from_secs(2),
-    gather: Duration::from_millis(100),
-};
+/// Pause after a change of the declarations.
+const DECLARATIONS_GATHER: Duration = Duration::from_millis(100);
 /// Endpoints: leaving ones are to get nothing new after two seconds, so entries may gather for less than half of that.
 const ENDPOINTS_PACE: feed::Pace = feed::Pace {
     wait: Duration::from_secs(5),
@@ -40,44 +36,80 @@
 /// Pause between two tries of it.
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 
+/// Wait of a gateway that takes confirmations over from another one.
+const RELAYED_WAIT: Duration = Duration::from_secs(25);
+/// Interval at which the age of the last confirmation is looked at.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// A read of the declarations that a gateway of the failure domain told of.
+#[derive(Debug)]
+pub(crate) struct PeerRead {
+    /// The gateway.
+    pub(crate) instance: Arc<str>,
+    /// What it read.
+    pub(crate) confirmation: confirmation::Confirmation,
+}
+
+/// What the control thread shares with traffic.
+pub(crate) struct Control {
+    /// What it knows.
+    pub(crate) snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
+    /// What peers tell.
+    pub(crate) told: mpsc::Sender<PeerRead>,
+}
+
 /// Starts the thread. It ends with the process.
 pub(crate) fn start(
     settings: settings::Settings,
     port: port::Port,
     log: Logger,
-) -> Result<watch::Receiver<Arc<snapshot::Snapshot>>, error::GatewayError> {
+) -> Result<Control, error::GatewayError> {
     let (tx, rx) = watch::channel(Arc::default());
     let failed = |source| error::GatewayError::Thread {
         what: "control",
         source,
     };
     let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
-    let run = move || runtime.block_on(control(settings, port, tx, log));
+    let (told, heard) = mpsc::channel(QUEUE);
+    let run = move || runtime.block_on(control(settings, port, tx, heard, log));
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(run)
         .map_err(failed)?;
-    Ok(rx)
+    Ok(Control { snapshots: rx, told })
 }
 
 async fn control(
     settings: settings::Settings,
     port: port::Port,
     tx: watch::Sender<Arc<snapshot::Snapshot>>,
+    mut heard: mpsc::Receiver<PeerRead>,
     log: Logger,
 ) {
     let (events_tx, mut events) = mpsc::channel(QUEUE);
+    // The wait bounds the age of the last confirmation.
+    let declarations_pace = feed::Pace {
+        wait: confirmation::reader_interval(settings.revocation),
+        gather: DECLARATIONS_GATHER,
+    };
     let topics = [
-        (port::Topic::Declarations, DECLARATIONS_PACE),
+        (port::Topic::Declarations, declarations_pace),
         (port::Topic::Endpoints, ENDPOINTS_PACE),
         (port::Topic::Gateways, GATEWAYS_PACE),
     ];
+    let mut reins = Vec::new();
     for (topic, pace) in topics {
         let client = client::Client::new(settings.table);
-        tokio::spawn(feed::follow(topic, port, client, pace, events_tx.clone(), log.clone()));
+        let (rein_end, rein) = feed::Reins::new(pace);
+        let tx = events_tx.clone();
+        tokio::spawn(feed::follow(topic, port, client, pace, rein, tx, log.clone()));
+        reins.push(rein_end);
     }
     tokio::spawn(announce(settings.clone(), port, log.clone()));
-    let mut board = Board::new(port, log);
+    // The first topic is that of the declarations.
+    let mut board = Board::new(&settings, port, reins.swap_remove(0), log);
+    let mut look = timer::interval(LOOK);
+    look.set_missed_tick_behavior(timer::MissedTickBehavior::Delay);
     loop {
         let next = board.roster.next_expiry();
         let expiry = async {
@@ -91,6 +123,14 @@
                 Some((topic, event)) => board.take(topic, event),
                 None => return,
             },
+            told = heard.recv() => match told {
+                Some(told) => board.hear(&told),
+                None => return,
+            },
+            _ = look.tick() => {
+                board.look();
+                continue;
+            }
             () = expiry => board.expire(),
         }
         tx.send_replace(Arc::new(board.snapshot.clone()));
@@ -115,12 +155,28 @@
     port: port::Port,
     roster: roster::Roster,
     snapshot: snapshot::Snapshot,
+    /// Own reads of the declarations, and those of other gateways.
+    watch: confirmation::ConfirmationWatch,
+    /// Interval of a gateway that reads often.
+    interval: Duration,
+    /// The feed of the declarations.
+    declarations: feed::Reins,
+    /// The newest declarations could not be read, so those in force are not the newest.
+    newest_unread: bool,
+    /// Whether this gateway read often when it last looked.
+    reads: bool,
     log: Logger,
 }
 
 impl Board {
-    fn new(port: port::Port, log: Logger) -> Self {
+    fn new(settings: &settings::Settings, port: port::Port, declarations: feed::Reins, log: Logger) -> Self {
+        let interval = confirmation::reader_interval(settings.revocation);
         Self {
+            watch: confirmation::ConfirmationWatch::new(Arc::clone(&settings.instance), interval),
+            interval,
+            declarations,
+            newest_unread: false,
+            reads: true,
             port,
             roster: roster::Roster::default(),
             snapshot: snapshot::Snapshot::default(),
@@ -134,9 +190,9 @@
             (port::Topic::Endpoints, feed::FeedEvent::Regained) => self.roster.regained(now),
             (
                 port::Topic::Declarations,
-                feed::FeedEvent::Whole { as_of, rows } | feed::FeedEvent::Changes { as_of, rows },
+                feed::FeedEvent::Whole { as_of, clock, rows } | feed::FeedEvent::Changes { as_of, clock, rows },
             ) => {
-                self.declare(as_of, &rows);
+                self.declare(as_of, clock, &rows);
             }
             (port::Topic::Endpoints, feed::FeedEvent::Whole { rows, .. }) => {
                 let entries = rows.iter().filter_map(|row| self.entry(row)).collect();
@@ -163,20 +219,66 @@
         }
     }
 
-    fn declare(&mut self, as_of: time::Time, rows: &[port::Row]) {
+    /// Takes what another gateway read: its confirmation counts for the same version, and shows that a newer one exists.
+    fn hear(&mut self, told: &PeerRead) {
+        let now = boot_clock::now();
+        self.watch.hear(&told.instance, told.confirmation.table_ms, now);
+        let Some(version) = self.snapshot.declared.as_ref().map(|d| d.version) else {
+            return;
+        };
+        let confirmation = &told.confirmation;
+        if confirmation.version == version {
+            let reading = Duration::from_millis(confirmation.table_ms);
+            if let Some(as_of) = self.watch.place(reading, now) {
+                self.snapshot.freshness.confirm(as_of);
+            }
+        } else if confirmation.version > version && self.watch.asks(None, true, now) {
+            info!(self.log, "newer declarations exist, reading"; "in_force" => version, "told" => confirmation.version, "peer" => told.instance.as_ref());
+            self.declarations.read_now();
+        }
+    }
+
+    /// Reads when the last confirmation is old, and as often as this gateway's part asks for.
+    fn look(&mut self) {
+        let now = boot_clock::now();
+        let reads = self.watch.is_reader(now);
+        if reads != self.reads {
+            info!(self.log, "reading declarations"; "often" => reads);
+            self.reads = reads;
+        }
+        self.declarations
+            .set_wait(if reads { self.interval } else { RELAYED_WAIT });
+        let age = self.snapshot.freshness.age(now);
+        if age.is_some() && self.watch.asks(age, false, now) {
+            self.declarations.read_now();
+        }
+    }
+
+    fn declare(&mut self, as_of: time::Time, clock: Option<Duration>, rows: &[port::Row]) {
         let ours = rows.iter().filter(|row| row.key.as_ref() == self.port.declarations_key);
         if let Some(value) = ours.filter_map(|row| row.value.as_ref()).next_back() {
             match (self.port.declarations)(value) {
-                Ok(declared) => self.put_in_force(declared),
+                Ok(declared) => {
+                    self.newest_unread = false;
+                    self.put_in_force(declared);
+                }
                 Err(e) => {
                     // What is in force stays so, and is not confirmed: keys in it may have been revoked.
                     warn!(self.log, "declarations can't be read"; "error" => %e);
+                    self.newest_unread = true;
                     return;
                 }
             }
         }
-        if self.snapshot.declared.is_some() {
+        if let Some(declared) = self.snapshot.declared.as_ref().filter(|_| !self.newest_unread) {
             self.snapshot.freshness.confirm(as_of);
+            if let Some(clock) = clock {
+                self.watch.read(as_of, clock);
+                self.snapshot.own_read = Some(confirmation::Confirmation {
+                    version: declared.version,
+                    table_ms: clock.as_millis() as u64,
+                });
+            }
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,10 +8,13 @@
 
 use serde::{Deserialize, Serialize};
 use slog::{debug, warn};
+use sycamorestile_core::direct::confirmation;
 use sycamorestile_table::boot_clock;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use tokio::time;
 
+use crate::control;
 use crate::cx;
 
 /// Least time between two rounds.
@@ -28,27 +31,34 @@
 struct Counts {
     /// Name of the sender's instance.
     instance: Arc<str>,
+    /// Failure domain of the sender.
+    failure_domain: Arc<str>,
     /// Requests under way by endpoint, sorted.
     under_way: Vec<(Arc<str>, u32)>,
+    /// The sender's own last read of the declarations.
+    own_read: Option<confirmation::Confirmation>,
 }
 
 /// Sends and receives counts until the process ends.
-pub(crate) async fn run(cx: Rc<cx::Cx>, socket: UdpSocket) {
+pub(crate) async fn run(cx: Rc<cx::Cx>, socket: UdpSocket, told: mpsc::Sender<control::PeerRead>) {
     let socket = Rc::new(socket);
-    tokio::task::spawn_local(listen(Rc::clone(&cx), Rc::clone(&socket)));
+    tokio::task::spawn_local(listen(Rc::clone(&cx), Rc::clone(&socket), told));
     let mut interval = MIN_INTERVAL;
     let mut last: Vec<(Arc<str>, u32)> = Vec::new();
+    let mut last_read = None;
     let mut unchanged = Duration::ZERO;
     loop {
         time::sleep(interval).await;
         let under_way = cx.placement.borrow().own_counts();
-        if under_way == last && unchanged < MAX_INTERVAL {
+        let own_read = cx.snapshot().own_read;
+        if under_way == last && own_read == last_read && unchanged < MAX_INTERVAL {
             unchanged += interval;
             continue;
         }
         unchanged = Duration::ZERO;
-        interval = tell(&cx, &socket, &under_way).await;
+        interval = tell(&cx, &socket, &under_way, own_read).await;
         last = under_way;
+        last_read = own_read;
         let snapshot = cx.snapshot();
         let known = |id: &str| snapshot.endpoints.iter().any(|e| e.id.as_ref() == id);
         cx.placement.borrow_mut().forget(known, boot_clock::now());
@@ -57,10 +67,17 @@
 }
 
 /// Tells all peers and gives back the time to wait until the next round.
-async fn tell(cx: &cx::Cx, socket: &UdpSocket, under_way: &[(Arc<str>, u32)]) -> Duration {
+async fn tell(
+    cx: &cx::Cx,
+    socket: &UdpSocket,
+    under_way: &[(Arc<str>, u32)],
+    own_read: Option<confirmation::Confirmation>,
+) -> Duration {
     let counts = Counts {
         instance: Arc::clone(&cx.settings.instance),
+        failure_domain: Arc::clone(&cx.settings.failure_domain),
         under_way: under_way.to_vec(),
+        own_read,
     };
     let datagram = match serde_json::to_vec(&counts) {
         Ok(datagram) => datagram,
@@ -82,7 +99,7 @@
     Duration::from_secs_f64(sent as f64 / BYTES_PER_SECOND).clamp(MIN_INTERVAL, MAX_INTERVAL)
 }
 
-async fn listen(cx: Rc<cx::Cx>, socket: Rc<UdpSocket>) {
+async fn listen(cx: Rc<cx::Cx>, socket: Rc<UdpSocket>, told: mpsc::Sender<control::PeerRead>) {
     let mut buf = vec![0; MAX_DATAGRAM];
     loop {
         let len = match socket.recv_from(&mut buf).await {
@@ -96,6 +113,12 @@
         match serde_json::from_slice::<Counts>(buf.get(..len).unwrap_or_default()) {
             Ok(counts) => {
                 let now = boot_clock::now();
+                let near = counts.failure_domain == cx.settings.failure_domain;
+                if let Some(confirmation) = counts.own_read.filter(|_| near) {
+                    let instance = Arc::clone(&counts.instance);
+                    // A full queue loses one of many; the next read is told as well.
+                    let _taken = told.try_send(control::PeerRead { instance, confirmation });
+                }
                 cx.placement.borrow_mut().hear(&counts.instance, counts.under_way, now);
             }
             Err(e) => warn!(cx.log, "a peer's counts can't be read"; "error" => %e),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
@@ -26,7 +25,6 @@
 use crate::pool;
 use crate::server;
 use crate::settings;
-use crate::snapshot;
 
 /// Time for which a leaving gateway goes on accepting: the balancer asks once a second and takes two misses to stop
 /// sending new connections.
@@ -50,14 +48,14 @@
         source,
     };
     let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
-    let snapshots = control::start(settings.clone(), port, log.clone())?;
-    LocalSet::new().block_on(&runtime, traffic(settings, dialect, snapshots, log))
+    let control = control::start(settings.clone(), port, log.clone())?;
+    LocalSet::new().block_on(&runtime, traffic(settings, dialect, control, log))
 }
 
 async fn traffic(
     settings: settings::Settings,
     dialect: dialect::Dialect,
-    snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
+    control: control::Control,
     log: Logger,
 ) -> Result<(), error::GatewayError> {
     let callers = server::bind("callers", settings.callers)?;
@@ -67,7 +65,7 @@
     let cx = Rc::new(cx::Cx {
         settings,
         dialect,
-        snapshots,
+        snapshots: control.snapshots,
         placement: RefCell::new(placement::Placement::default()),
         retries: RefCell::default(),
         outages: RefCell::default(),
@@ -85,7 +83,7 @@
         source,
     };
     let socket = UdpSocket::bind(peers_addr).await.map_err(bind)?;
-    tokio::task::spawn_local(peers::run(Rc::clone(&cx), socket));
+    tokio::task::spawn_local(peers::run(Rc::clone(&cx), socket, control.told));
     tokio::task::spawn_local(server::accept(Rc::clone(&cx), callers, handle::handle));
     tokio::task::spawn_local(server::accept(Rc::clone(&cx), page_listener, handle::handle_page));
     info!(cx.log, "gateway started"; "instance" => cx.settings.instance.as_ref(),
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use sycamorestile_core::direct::{declarations, endpoint, freshness};
+use sycamorestile_core::direct::{confirmation, declarations, endpoint, freshness};
 
 /// State of the blackboard at one moment.
 #[derive(Debug, Clone, Default)]
@@ -11,6 +11,8 @@
     pub(crate) declared: Option<Arc<declarations::Declarations>>,
     /// When the declarations were confirmed.
     pub(crate) freshness: freshness::Freshness,
+    /// This gateway's own last read of the declarations, for its peers.
+    pub(crate) own_read: Option<confirmation::Confirmation>,
     /// Endpoints that take requests, sorted by service, then id.
     pub(crate) endpoints: Arc<Vec<Arc<endpoint::Endpoint>>>,
     /// Whether endpoints were read at all.
--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -156,11 +156,13 @@
         let (tx, mut events) = mpsc::channel(QUEUE);
         let calls = client::Client::new(self.settings.table);
         let topic = port::Topic::MapAgents;
+        let (_reins, rein) = feed::Reins::new(AGENTS_PACE);
         tokio::task::spawn_local(feed::follow(
             topic,
             self.table,
             calls,
             AGENTS_PACE,
+            rein,
             tx,
             self.log.clone(),
         ));
--- a/crates/table/src/feed.rs
+++ b/crates/table/src/feed.rs
@@ -3,12 +3,13 @@
 //! A feed begins with a full read and goes on from that read's version. Whatever puts the sequence of changes in doubt
 //! (lost history, an unreadable answer) leads to a full read again.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
 use sycamorestile_core::direct::table_clock;
 use sycamorestile_core::time;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time as timer;
 
 use crate::boot_clock;
@@ -29,6 +30,8 @@
     Whole {
         /// The table held nothing newer at this time.
         as_of: time::Time,
+        /// Reading of the table's clock at that time or later.
+        clock: Option<Duration>,
         /// The rows.
         rows: Vec<port::Row>,
     },
@@ -36,6 +39,8 @@
     Changes {
         /// The table held nothing newer at this time.
         as_of: time::Time,
+        /// Reading of the table's clock at that time or later.
+        clock: Option<Duration>,
         /// The changes in order.
         rows: Vec<port::Row>,
     },
@@ -54,12 +59,54 @@
     pub gather: Duration,
 }
 
+/// Changes the pace of a feed that is running.
+#[derive(Debug)]
+pub struct Reins {
+    wait: watch::Sender<Duration>,
+    read_now: Arc<Notify>,
+}
+
+/// The feed's end of its [`Reins`].
+#[derive(Debug)]
+pub struct Rein {
+    wait: watch::Receiver<Duration>,
+    read_now: Arc<Notify>,
+}
+
+impl Reins {
+    /// Reins of a feed that first waits as `pace` says.
+    pub fn new(pace: Pace) -> (Self, Rein) {
+        let (tx, rx) = watch::channel(pace.wait);
+        let read_now = Arc::new(Notify::new());
+        let reins = Self {
+            wait: tx,
+            read_now: Arc::clone(&read_now),
+        };
+        (reins, Rein { wait: rx, read_now })
+    }
+
+    /// Changes the time that the table is asked to wait, from the next call on.
+    pub fn set_wait(&self, wait: Duration) {
+        self.wait.send_if_modified(|now| {
+            let changed = *now != wait;
+            *now = wait;
+            changed
+        });
+    }
+
+    /// Gives up a call that waits, and reads at once.
+    pub fn read_now(&self) {
+        self.read_now.notify_one();
+    }
+}
+
 /// Follows `topic` until the receiver is gone.
 pub async fn follow(
     topic: port::Topic,
     port: port::Port,
     mut calls: client::Client,
     pace: Pace,
+    rein: Rein,
     tx: mpsc::Sender<(port::Topic, FeedEvent)>,
     log: Logger,
 ) {
@@ -67,13 +114,24 @@
     let mut pause = FIRST_PAUSE;
     let mut lost = false;
     let mut clock = table_clock::TableClock::default();
+    let mut urged = false;
     loop {
         let sent = boot_clock::now();
         let answered = match version {
             None => read_whole(topic, &port, &mut calls).await,
             Some(after) => {
-                let wait = if clock.is_stale() { Duration::ZERO } else { pace.wait };
-                read_changes(topic, &port, &mut calls, after, wait).await
+                let at_once = urged || clock.is_stale();
+                let wait = if at_once { Duration::ZERO } else { *rein.wait.borrow() };
+                urged = false;
+                let reading = read_changes(topic, &port, &mut calls, after, wait);
+                tokio::select! {
+                    answered = reading => answered,
+                    // A call that is given up closes its connection, which may be the one that went silent.
+                    () = rein.read_now.notified(), if !wait.is_zero() => {
+                        urged = true;
+                        continue;
+                    }
+                }
             }
         };
         let answer = match answered {
@@ -112,10 +170,12 @@
         let event = match version {
             None => FeedEvent::Whole {
                 as_of,
+                clock: answer.clock,
                 rows: answer.rows,
             },
             Some(_) => FeedEvent::Changes {
                 as_of,
+                clock: answer.clock,
                 rows: answer.rows,
             },
         };
