--- a/crates/core/tests/direct_relay.rs
+++ b/crates/core/tests/direct_relay.rs
@@ -1,6 +1,7 @@
 //! The state machine of one caller's request: what may be repeated, and what a caller may be told.
 
 use proptest::prelude::*;
+use rstest::rstest;
 use sycamorestile_core::direct::relay::{Next, Relay, Verdict};
 use sycamorestile_core::direct::route::RouteKind;
 
@@ -47,32 +48,50 @@
     verdict: Option<Verdict>,
 }
 
+/// A fault that the checks have to notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Planted {
+    /// A lost answer is taken for a connection that never was.
+    LossTakenForNoConnection,
+    /// A failure is taken for a refusal that proves that nothing ran.
+    FailureTakenForRefusal,
+    /// What the caller is told when its time is up is taken from before the last send.
+    VerdictFromBeforeTheSend,
+}
+
 fn play(kind: RouteKind, attempts: u32, fates: &[Fate]) -> Played {
+    play_with(kind, attempts, fates, None)
+}
+
+fn play_with(kind: RouteKind, attempts: u32, fates: &[Fate], planted: Option<Planted>) -> Played {
     let mut relay = Relay::new(kind, attempts);
     let mut played = Played::default();
+    let mut told = relay.verdict();
     for fate in fates {
+        told = relay.verdict();
+        if *fate != Fate::NoConnection {
+            relay.sending();
+            played.sends += 1;
+        }
         let next = match fate {
             Fate::NoConnection => relay.not_sent(),
-            Fate::Refused => {
-                relay.sending();
-                played.sends += 1;
-                relay.refused()
+            Fate::Refused => relay.refused(),
+            Fate::RanAndLost | Fate::LostBeforeRun => {
+                played.runs += u32::from(*fate == Fate::RanAndLost);
+                if planted == Some(Planted::LossTakenForNoConnection) {
+                    relay.not_sent()
+                } else {
+                    relay.lost()
+                }
             }
-            Fate::RanAndLost | Fate::RanAndFailed => {
-                relay.sending();
-                played.sends += 1;
+            Fate::RanAndFailed => {
                 played.runs += 1;
-                if *fate == Fate::RanAndLost {
-                    relay.lost()
+                if planted == Some(Planted::FailureTakenForRefusal) {
+                    relay.refused()
                 } else {
                     relay.failed()
                 }
             }
-            Fate::LostBeforeRun => {
-                relay.sending();
-                played.sends += 1;
-                relay.lost()
-            }
         };
         if let Next::End(verdict) = next {
             played.verdict = Some(verdict);
@@ -80,10 +99,77 @@
         }
     }
     // The caller's time is up, or the retry budget is spent.
-    played.verdict = Some(relay.verdict());
+    played.verdict = Some(if planted == Some(Planted::VerdictFromBeforeTheSend) {
+        told
+    } else {
+        relay.verdict()
+    });
     played
 }
 
+/// What a request's way must not show.
+fn is_wrong(kind: RouteKind, attempts: u32, played: &Played) -> bool {
+    let once = matches!(kind, RouteKind::Unsafe | RouteKind::Stream { resumable: false });
+    let told_wrongly = played.verdict == Some(Verdict::NotRun) && played.runs > 0;
+    told_wrongly || (once && played.runs > 1) || played.sends > attempts
+}
+
+/// Every sequence of up to [`LONGEST`] fates.
+fn each_way<F>(mut visit: F)
+where
+    F: FnMut(&[Fate]),
+{
+    const FATES: [Fate; 5] = [
+        Fate::NoConnection,
+        Fate::Refused,
+        Fate::RanAndLost,
+        Fate::LostBeforeRun,
+        Fate::RanAndFailed,
+    ];
+    let mut open: Vec<Vec<Fate>> = vec![Vec::new()];
+    while let Some(way) = open.pop() {
+        visit(&way);
+        if way.len() < LONGEST {
+            open.extend(FATES.iter().map(|fate| [way.as_slice(), &[*fate]].concat()));
+        }
+    }
+}
+
+/// Sends with every fate in every order: more than the machine ever makes.
+const LONGEST: usize = 6;
+const KINDS: [RouteKind; 4] = [
+    RouteKind::Safe,
+    RouteKind::Unsafe,
+    RouteKind::Stream { resumable: true },
+    RouteKind::Stream { resumable: false },
+];
+
+fn wrong_ways(planted: Option<Planted>) -> usize {
+    let mut wrong = 0;
+    each_way(|fates| {
+        for kind in KINDS {
+            for attempts in 1..=4 {
+                let played = play_with(kind, attempts, fates, planted);
+                wrong += usize::from(is_wrong(kind, attempts, &played));
+            }
+        }
+    });
+    wrong
+}
+
+#[test]
+fn no_way_of_six_sends_or_fewer_is_wrong() {
+    assert_eq!(wrong_ways(None), 0);
+}
+
+#[rstest]
+#[case::of_a_loss(Planted::LossTakenForNoConnection)]
+#[case::of_a_failure(Planted::FailureTakenForRefusal)]
+#[case::of_the_verdict(Planted::VerdictFromBeforeTheSend)]
+fn planted_faults_are_noticed(#[case] planted: Planted) {
+    assert!(wrong_ways(Some(planted)) > 0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(20_000))]
 
