A read of the declarations is told for a second, not in every datagram

Cause: gateways told their last read in each datagram, so that each control thread woke for every datagram of its failure domain; with 14 gateways in a domain that is about 30 times a second, with 40 as at the target far more. Change: told in the rounds of one second after the read, which is two at least.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,8 @@
 const MAX_INTERVAL: Duration = Duration::from_millis(500);
 /// Bytes a second that a gateway may send to its peers, from the target of 9 KB/s for all control.
 const BYTES_PER_SECOND: f64 = 6_000.0;
+/// Time for which a read of the declarations is told: twice at least, since datagrams get lost.
+const TELL_READ_FOR: Duration = Duration::from_secs(1);
 /// Largest datagram that is read.
 const MAX_DATAGRAM: usize = 8 << 10;
 
@@ -35,7 +37,7 @@
     failure_domain: Arc<str>,
     /// Requests under way by endpoint, sorted.
     under_way: Vec<(Arc<str>, u32)>,
-    /// The sender's own last read of the declarations.
+    /// The sender's own last read of the declarations, for some rounds after it.
     own_read: Option<confirmation::Confirmation>,
 }
 
@@ -46,6 +48,7 @@
     let mut interval = MIN_INTERVAL;
     let mut last: Vec<(Arc<str>, u32)> = Vec::new();
     let mut last_read = None;
+    let mut read_told = Duration::ZERO;
     let mut unchanged = Duration::ZERO;
     loop {
         time::sleep(interval).await;
@@ -56,7 +59,12 @@
             continue;
         }
         unchanged = Duration::ZERO;
-        interval = tell(&cx, &socket, &under_way, own_read).await;
+        if own_read != last_read {
+            read_told = Duration::ZERO;
+        }
+        let news = own_read.filter(|_| read_told < TELL_READ_FOR);
+        read_told += interval;
+        interval = tell(&cx, &socket, &under_way, news).await;
         last = under_way;
         last_read = own_read;
         let snapshot = cx.snapshot();
