Move requests off a silent endpoint before their callers leave

The gateway waits 1.75 s for a response before it tries another rank; callers leave after 2 s of silence. The first attempt's connection is reset at 1.75 s (10.355 s in the log of the gateway), but a frozen instance neither gets nor processes the reset, and its rank runs the request when it wakes: 5 of 6 runs then belong to callers that have left. Ruled out: a first attempt that stays open (the lease is dropped with the attempt and the socket closes with zero linger; the second attempt is cancelled within 4 ms), requests sent to the frozen rank after the freeze (they are discarded by the reset). Change: a resumable stream whose response has not begun moves on after 0.8 s, or after the upper bound of the service's response times (RFC 6298) if that is longer, when its endpoint has sent nothing at all for 0.8 s while the rest of the service makes progress. Idle connections to a silent endpoint are closed, so that the next attempt connects and learns within 250 ms. A silent attempt or stream is only abandoned if another one can follow: attempts, endpoints and the retry share are checked first. Only complete events count as progress, so single bytes keep no stalled stream alive.

--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Returns whether another attempt could follow if the current one were abandoned.
+    pub fn may_abandon(&self) -> bool {
+        self.kind.is_repeatable() && self.sent_count < self.max_attempts
+    }
+
     /// Returns the number of endpoints that the request was sent to.
     pub fn sent_count(&self) -> u32 {
         self.sent_count
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -26,6 +26,7 @@
 pub mod outage;
 pub mod placement;
 pub mod response_class;
+pub mod response_time;
 pub mod retry_share;
 pub mod route;
 pub mod route_table;
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -122,6 +122,12 @@
         sample.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// Returns whether any of the `candidates` that are not in `tried` is usable.
+    pub fn has_usable(&self, candidates: &[Arc<endpoint::Endpoint>], tried: &[Arc<str>], now: time::Time) -> bool {
+        let is_usable = |e: &Arc<endpoint::Endpoint>| !tried.contains(&e.id) && !self.is_backing_off(&e.id, now);
+        candidates.iter().any(is_usable)
+    }
+
     /// Returns the load of a service with the endpoints `candidates`.
     pub fn service_load(&self, candidates: &[Arc<endpoint::Endpoint>], now: time::Time) -> ServiceLoad {
         let usable = candidates.iter().filter(|e| !self.is_backing_off(&e.id, now));
--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -52,16 +52,21 @@
     /// Takes one retry from this instance's share of a budget that `instances` instances use. Returns `false` if the
     /// share is used up.
     pub fn try_spend(&mut self, now: time::Time, instances: usize) -> bool {
-        self.evict_expired(now);
-        let extra = self.limit.extra / instances.max(1) as f64;
-        let share = USABLE_SHARE * (self.limit.ratio * self.request_times.len() as f64 + extra);
-        let is_within_share = ((self.retry_times.len() + 1) as f64) <= share;
+        let is_within_share = self.can_spend(now, instances);
         if is_within_share {
             self.retry_times.push_back(now);
         }
         is_within_share
     }
 
+    /// Returns whether [`Self::try_spend`] would succeed now.
+    pub fn can_spend(&mut self, now: time::Time, instances: usize) -> bool {
+        self.evict_expired(now);
+        let extra = self.limit.extra / instances.max(1) as f64;
+        let share = USABLE_SHARE * (self.limit.ratio * self.request_times.len() as f64 + extra);
+        ((self.retry_times.len() + 1) as f64) <= share
+    }
+
     fn evict_expired(&mut self, now: time::Time) {
         for times in [&mut self.request_times, &mut self.retry_times] {
             while times.front().is_some_and(|t| now.since(*t) > self.limit.window) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -26,6 +26,9 @@
 /// loss of a rank.
 const STREAM_HEAD_MARGIN: Duration = Duration::from_millis(250);
 
+/// The interval at which a request without a response is checked for a stalled endpoint.
+const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The least remaining time with which a request is sent, which is the response time of the fastest services. With
 /// less, the caller's deadline passes before an endpoint reads the request.
 const MIN_REMAINING: Duration = Duration::from_millis(15);
@@ -165,9 +168,9 @@
     let req = endpoint_request(cx, &req_cx.call, &slot.endpoint, grant, remaining, last_event_id)?;
     req_cx.attempts.start();
     let sending = lease.sender().try_send_request(req);
-    let response = match time::timeout(head_timeout(cx, req_cx, remaining), sending).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(mut e)) => {
+    let response = match wait_for_head(cx, req_cx, &slot.endpoint, sending).await {
+        Some(Ok(response)) => response,
+        Some(Err(mut e)) => {
             cx.placement
                 .borrow_mut()
                 .record_failure(&slot.endpoint.id, boot_clock::now());
@@ -178,27 +181,70 @@
                 failed(req_cx.attempts.lost(), "connection broke before the answer")
             });
         }
-        Err(_) => {
+        None => {
             let now = boot_clock::now();
+            cx.pool.close_idle(&slot.endpoint.id);
             cx.placement.borrow_mut().record_failure(&slot.endpoint.id, now);
             cx.with_outage_detector(&slot.endpoint.service, |o| o.record_failure(&slot.endpoint.id, now));
             return Ok(failed(req_cx.attempts.lost(), "no answer in time"));
         }
     };
+    if grant.route.kind.is_stream() {
+        let answered = boot_clock::now();
+        cx.with_outage_detector(&slot.endpoint.service, |o| {
+            o.record_response_start(&slot.endpoint.id, answered.since(now), answered);
+        });
+    }
     handle_response(cx, req_cx, lease, slot, response).await
 }
 
-/// Returns how long to wait for the head of a response.
-///
-/// The wait is limited if another attempt can follow, so that there is time left for it.
-fn head_timeout(cx: &context::GatewayContext, req_cx: &request::RequestContext, remaining: Duration) -> Duration {
-    let route = &req_cx.call.grant.route;
-    let has_more_attempts = req_cx.attempts.sent_count() < route.max_attempts;
-    match route.kind {
-        route::RouteKind::Safe if has_more_attempts => remaining / 2,
-        route::RouteKind::Stream { resumable: true } if has_more_attempts => {
-            remaining.min(cx.settings.stall_time + STREAM_HEAD_MARGIN)
+/// Waits for the head of a response. Returns `None` if the attempt is to be abandoned, since the endpoint seems to have
+/// stalled and another attempt can follow, or because the deadline has passed.
+async fn wait_for_head<S, R>(
+    cx: &context::GatewayContext,
+    req_cx: &request::RequestContext,
+    endpoint: &endpoint::Endpoint,
+    sending: S,
+) -> Option<R>
+where
+    S: Future<Output = R>,
+{
+    let mut sending = std::pin::pin!(sending);
+    let sent_at = boot_clock::now();
+    let remaining = req_cx.call.deadline.since(sent_at);
+    let limit = head_timeout(cx, req_cx, remaining);
+    let can_resume = req_cx.call.grant.route.kind == route::RouteKind::Stream { resumable: true };
+    loop {
+        let waited = boot_clock::now().since(sent_at);
+        if waited >= remaining {
+            return None;
         }
+        let stalled = waited >= limit
+            || (can_resume
+                && cx.with_outage_detector(&endpoint.service, |o| {
+                    o.is_stalled_request(&endpoint.id, waited, boot_clock::now())
+                }));
+        if stalled && request::can_move(cx, req_cx, &endpoint.service) {
+            return None;
+        }
+        // Without a stall, nothing can change before the limit unless another request's progress shows one.
+        let next_check = if waited >= limit || can_resume {
+            HEAD_CHECK_INTERVAL.min(remaining.saturating_sub(waited))
+        } else {
+            limit.saturating_sub(waited)
+        };
+        if let Ok(response) = time::timeout(next_check, sending.as_mut()).await {
+            return Some(response);
+        }
+    }
+}
+
+/// Returns how long to wait for the head of a response while another attempt can follow, so that there is time left for
+/// it.
+fn head_timeout(cx: &context::GatewayContext, req_cx: &request::RequestContext, remaining: Duration) -> Duration {
+    match req_cx.call.grant.route.kind {
+        route::RouteKind::Safe => remaining / 2,
+        route::RouteKind::Stream { resumable: true } => remaining.min(cx.settings.stall_time + STREAM_HEAD_MARGIN),
         _ => remaining,
     }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -130,6 +130,15 @@
         idle.retain(|(id, connections)| !connections.is_empty() && known(id));
     }
 
+    /// Closes the idle connections to the endpoint `id`, which has stopped responding. The next attempt then shows by a
+    /// new connection whether the endpoint can be reached.
+    pub(crate) fn close_idle(&self, id: &str) {
+        let mut idle = self.idle.borrow_mut();
+        if let Ok(at) = idle.binary_search_by(|(known, _)| known.as_ref().cmp(id)) {
+            idle.remove(at);
+        }
+    }
+
     /// Takes the most recently used connection to `endpoint` from the pool.
     fn take_idle(&self, endpoint: &endpoint::Endpoint, require_recent: bool) -> Option<Connection> {
         let now = boot_clock::now();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,6 +9,7 @@
 use slog::info;
 use sycamorestile_core::direct::{attempts, endpoint};
 use sycamorestile_core::problem;
+use sycamorestile_core::time;
 use sycamorestile_table::boot_clock;
 
 use crate::context;
@@ -110,8 +111,7 @@
         }
         attempts::NextAttempt::Send { repeat: false } => None,
         attempts::NextAttempt::Send { repeat: true } => {
-            let instances = cx.placement.borrow().live_peers(now) + 1;
-            let instances = instances.max(cx.snapshot().gateways.len());
+            let instances = instance_count(cx, now);
             if cx.with_retry_share(service, |share| share.try_spend(now, instances)) {
                 cx.metrics.record_repeated_send();
                 None
@@ -122,6 +122,24 @@
     }
 }
 
+/// Returns whether the request could be sent to another endpoint if the current attempt were abandoned.
+pub(crate) fn can_move(cx: &context::GatewayContext, req_cx: &RequestContext, service: &Arc<str>) -> bool {
+    let now = boot_clock::now();
+    let snapshot = cx.snapshot();
+    let has_other = cx
+        .placement
+        .borrow()
+        .has_usable(snapshot.endpoints_of(service), &req_cx.tried, now);
+    let instances = instance_count(cx, now);
+    has_other && req_cx.attempts.may_abandon() && cx.with_retry_share(service, |share| share.can_spend(now, instances))
+}
+
+/// Returns the number of instances that share the retry budget.
+fn instance_count(cx: &context::GatewayContext, now: time::Time) -> usize {
+    let live = cx.placement.borrow().live_peers(now) + 1;
+    live.max(cx.snapshot().gateways.len())
+}
+
 /// Returns the response to a request whose attempts gave no response to forward.
 pub(crate) fn failure_response(
     cx: &context::GatewayContext,
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -8,7 +8,8 @@
 use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use sycamorestile_core::direct::{attempts, event_buffer};
+use sycamorestile_core::direct::{attempts, endpoint, event_buffer};
+use sycamorestile_core::time::Time;
 use sycamorestile_table::boot_clock;
 use tokio::sync::mpsc;
 use tokio::time;
@@ -97,7 +98,7 @@
     async fn run(mut self, first: EndpointStream) {
         let mut stream = first;
         let reason = loop {
-            let end = self.forward(&mut stream.body, &stream.slot.endpoint.service).await;
+            let end = self.forward(&mut stream.body, &stream.slot.endpoint).await;
             let id = Arc::clone(&stream.slot.endpoint.id);
             match end {
                 StreamEnd::Complete => {
@@ -138,8 +139,9 @@
     }
 
     /// Forwards complete events from `body` until it ends.
-    async fn forward(&mut self, body: &mut Incoming, service: &Arc<str>) -> StreamEnd {
-        let mut last_data_at = boot_clock::now();
+    async fn forward(&mut self, body: &mut Incoming, endpoint: &endpoint::Endpoint) -> StreamEnd {
+        let service = &endpoint.service;
+        let mut last_event_at = boot_clock::now();
         loop {
             let remaining = self.req_cx.call.deadline.since(boot_clock::now());
             if remaining.is_zero() {
@@ -155,29 +157,42 @@
                 Ok(None) if self.buffer.has_partial() => return StreamEnd::Failed("stream ended within an event"),
                 Ok(None) => return StreamEnd::Complete,
                 Err(_) => {
-                    let now = boot_clock::now();
-                    if self
-                        .cx
-                        .with_outage_detector(service, |o| o.is_stalled_connection(now.since(last_data_at), now))
-                    {
+                    if self.is_stalled(endpoint, last_event_at) {
+                        self.cx.pool.close_idle(&endpoint.id);
                         return StreamEnd::Failed("stream went silent");
                     }
                     continue;
                 }
             };
-            last_data_at = boot_clock::now();
-            self.cx
-                .with_outage_detector(service, |o| o.record_progress(last_data_at));
             let Some(data) = frame.data_ref() else { continue };
             let Ok(events) = self.buffer.push(data) else {
                 return StreamEnd::Failed("event too long");
             };
-            if !events.is_empty() && self.tx.send(Ok(events)).await.is_err() {
+            if events.is_empty() {
+                // Bytes without a complete event are no progress: a stalled endpoint may still send some.
+                if self.is_stalled(endpoint, last_event_at) {
+                    return StreamEnd::Failed("stream sends no events");
+                }
+                continue;
+            }
+            last_event_at = boot_clock::now();
+            self.cx
+                .with_outage_detector(service, |o| o.record_progress(&endpoint.id, last_event_at));
+            if self.tx.send(Ok(events)).await.is_err() {
                 return StreamEnd::CallerDisconnected;
             }
         }
     }
 
+    /// Returns whether a stream whose last event arrived at `last_event_at` has stalled and can be continued at another
+    /// endpoint. Otherwise it is not cut, since it may only be slow.
+    fn is_stalled(&self, endpoint: &endpoint::Endpoint, last_event_at: Time) -> bool {
+        let now = boot_clock::now();
+        self.cx.with_outage_detector(&endpoint.service, |o| {
+            o.is_stalled_connection(now.since(last_event_at), now)
+        }) && request::can_move(&self.cx, &self.req_cx, &endpoint.service)
+    }
+
     /// Resumes the stream at another endpoint, after the last event that was forwarded.
     ///
     /// Returns `None` if the stream can't be resumed.
