Measure the pass rate by the newest pass only, and plan right after a hold

Cause: a rank's report from before a suspension restarted the measurement of the pass rate at its old pass. Also, a map that a successor prepares only to end a lost coordinator's hold was still activated after the hold had ended, which delayed the first plan by 0.3 s. Change: PassRate ignores lower passes of the same epoch; a switch that only ends a hold is dropped once all ranks are known and idle.

--- a/crates/expert-map/src/lib.rs
+++ b/crates/expert-map/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod layout;
 pub mod leadership;
 pub mod loads;
+pub mod pass_rate;
 pub mod planner;
 pub mod rebalance;
 pub mod replay;
--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -8,7 +8,7 @@
 
 use slog::{Logger, info};
 use sycamorestile_core::time::Time;
-use sycamorestile_expert_map::{group_planner, held_switch, rebalance};
+use sycamorestile_expert_map::{group_planner, held_switch, pass_rate, rebalance};
 
 use crate::message;
 use crate::rank_adapter;
@@ -39,10 +39,6 @@
 const HOLD_LEAD_TIME: Duration = Duration::from_millis(80);
 /// Smallest number of passes between ordering a hold and the pass that is held.
 const MIN_HOLD_LEAD: u64 = 1;
-/// Shortest time over which the pass rate is measured.
-const MIN_RATE_SAMPLE: Duration = Duration::from_millis(300);
-/// Pass rate assumed until it is measured.
-const INITIAL_PASSES_PER_SECOND: f64 = 20.0;
 /// Number of map versions reserved for each leadership number.
 const VERSIONS_PER_NUMBER: u64 = 4_096;
 
@@ -69,6 +65,8 @@
     target: held_switch::TargetMap,
     map: rank_adapter::GroupExperts,
     started_at: Time,
+    /// Whether the switch only serves to end a hold, so that it is not needed once no pass is held.
+    ends_hold: bool,
 }
 
 /// Order that was sent recently.
@@ -101,10 +99,7 @@
     ordered_release: Option<u64>,
     /// The previous coordinator, which stopped sending heartbeats.
     lost: Option<held_switch::LostCoordinator>,
-    /// Pass and time from which the pass rate is measured.
-    rate_sample: Option<(u64, Time)>,
-    /// Pass rate of the group.
-    passes_per_second: f64,
+    pass_rate: pass_rate::PassRate,
     log: Logger,
 }
 
@@ -134,8 +129,7 @@
             ordered_hold: None,
             ordered_release: None,
             lost: None,
-            rate_sample: None,
-            passes_per_second: INITIAL_PASSES_PER_SECOND,
+            pass_rate: pass_rate::PassRate::default(),
             log,
         }
     }
@@ -243,7 +237,8 @@
             self.ranks = (0..status.membership.size).map(|_| None).collect();
             self.planner = None;
         }
-        self.update_pass_rate(&status.view, now);
+        let view = &status.view;
+        self.pass_rate.observe(view.epoch, view.pass, now.since(Time::ZERO));
         if let Some(planner) = self.planner.as_mut() {
             planner.set_slowness(rank, status.slowness);
             planner.observe(rank, status.started_at_ms, &status.counts);
@@ -257,18 +252,6 @@
         }
     }
 
-    /// Measures the pass rate from the passes of successive statuses.
-    fn update_pass_rate(&mut self, view: &held_switch::RankView, now: Time) {
-        match self.rate_sample {
-            Some((pass, at)) if view.pass > pass && now.since(at) > MIN_RATE_SAMPLE => {
-                self.passes_per_second = (view.pass - pass) as f64 / now.since(at).as_secs_f64();
-                self.rate_sample = Some((view.pass, now));
-            }
-            Some((pass, _)) if view.pass >= pass => {}
-            _ => self.rate_sample = Some((view.pass, now)),
-        }
-    }
-
     /// Returns the orders to send now, and plans a new map if one is due.
     pub(crate) fn pending_orders(&mut self, now: Time) -> Vec<rank_adapter::RankOrder> {
         let views = self.fresh_views(now);
@@ -349,7 +332,7 @@
 
     /// Returns the number of passes between ordering a hold and the pass that is held.
     fn hold_lead(&self) -> u64 {
-        MIN_HOLD_LEAD + (self.passes_per_second * HOLD_LEAD_TIME.as_secs_f64()).ceil() as u64
+        MIN_HOLD_LEAD + (self.pass_rate.per_second() * HOLD_LEAD_TIME.as_secs_f64()).ceil() as u64
     }
 
     /// Ends the map switch if it is complete, belongs to a former epoch, or has taken too long.
@@ -361,7 +344,9 @@
         let epoch_changed = known_views().any(|v| v.epoch != change.target.epoch);
         let timed_out = now.since(change.started_at) > CHANGE_TIMEOUT
             && known_views().all(|v| v.held.is_none() && v.armed.is_none());
-        if reached || epoch_changed || timed_out {
+        let is_idle = |v: &held_switch::RankView| v.held.is_none() && v.armed.is_none();
+        let needless = change.ends_hold && known_views().count() == views.len() && known_views().all(is_idle);
+        if reached || epoch_changed || timed_out || needless {
             info!(self.log, "map switch ended"; "version" => change.target.version, "reached" => reached,
                 "epoch_moved" => epoch_changed, "ms" => now.since(change.started_at).as_millis() as u64);
             self.change = None;
@@ -452,8 +437,8 @@
         let Some(plan) = planner.plan(&current) else { return };
         info!(self.log, "map planned"; "skew" => plan.skew_before, "skew_planned" => plan.skew_after,
             "copies" => plan.copies, "in_force" => view.in_force, "epoch" => view.epoch,
-            "pace" => self.passes_per_second, "slowest" => self.max_slowness());
-        self.start_change(&plan.map, view.epoch, now);
+            "pace" => self.pass_rate.per_second(), "slowest" => self.max_slowness());
+        self.start_change(&plan.map, view.epoch, false, now);
     }
 
     /// Starts a switch to the active map under a new version, to end a hold that can't be ended otherwise.
@@ -461,12 +446,12 @@
         if let Some((current, view)) = self.active_map(views).or_else(|| self.active_map_without_lost(views)) {
             info!(self.log, "reactivating the active map under a new version to end a hold";
                 "in_force" => view.in_force, "epoch" => view.epoch);
-            self.start_change(&current, view.epoch, now);
+            self.start_change(&current, view.epoch, true, now);
         }
     }
 
     /// Starts a switch to `map` under a new version.
-    fn start_change(&mut self, map: &group_planner::GroupMap, epoch: u64, now: Time) {
+    fn start_change(&mut self, map: &group_planner::GroupMap, epoch: u64, ends_hold: bool, now: Time) {
         self.versions_used += 1;
         let to_lists = |placement: &rebalance::Placement| {
             let ranks = placement.ranks().iter();
@@ -484,6 +469,7 @@
             },
             map: map.iter().map(to_lists).collect(),
             started_at: now,
+            ends_hold,
         });
     }
 }
