Copy few experts with each map, chosen over all sets together

The longest passes after a shift are those in which ranks copy (15 % slower): 98, 90, 102, 106 and 126 ms in the passes from the shift at 5.7 s to the map in force. Fewer copies a map end this sooner. Change: one search over all sets, in which the change with the largest gain of any set comes first; a rank copies one expert for every four sets with a map, and later maps add the rest.

--- a/crates/expert-map/src/group_planner.rs
+++ b/crates/expert-map/src/group_planner.rs
@@ -29,15 +29,10 @@
 const COPY_COST: f64 = 0.36;
 /// Smallest reduction of the mean skew that justifies a switch, because copying experts slows down the group.
 const MIN_SKEW_REDUCTION: f64 = 0.05;
-
-/// Mean skew at which a new map is urgent, because pauses exceed their objective until the new map is active.
-const URGENT_SKEW: f64 = 2.0;
-/// Number of new experts of a set that a rank copies for an urgent map. Copying half as many experts takes half the
-/// time, and the next map adds the rest.
-const URGENT_MAX_NEW_PER_RANK: usize = 1;
-/// Number of sets for which a rank copies one expert for an urgent map. A rank copies one expert after the other, and
-/// the map waits for the rank with the most copies, so these are spread over all ranks.
-const URGENT_SETS_PER_COPY: usize = 2;
+/// Number of sets for which a rank copies one expert of a map. A rank copies one expert after the other, and the group
+/// is slower until the rank with the most copies has finished. Therefore a map only contains the copies that reduce the
+/// skew most, spread over the ranks, and the next map adds others.
+const SETS_PER_COPY: usize = 4;
 
 /// The dimensions of a group's maps.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -198,20 +193,12 @@
         }
         let copy_cost = COPY_COST / self.shape.ranks.max(1) as f64;
         let skew_before = self.skew(current);
-        let (max_new_per_set, max_new_total) = self.copy_limits(skew_before);
-        let mut new_left = vec![max_new_total; self.shape.ranks];
-        let mut map = GroupMap::with_capacity(current.len());
-        for (set, before) in current.iter().enumerate() {
-            let allowed: Vec<usize> = new_left.iter().map(|left| max_new_per_set.min(*left)).collect();
-            let max_per_rank = self.shape.limits.max_per_rank;
-            let loads = self.set_loads(set);
-            let placement =
-                rebalance::rebalance_within(before, loads, &self.slowness, max_per_rank, &allowed, copy_cost).placement;
-            for (left, copies) in new_left.iter_mut().zip(placement.rank_copies_from(before)) {
-                *left -= copies;
-            }
-            map.push(placement);
-        }
+        let loads: Vec<&[f64]> = (0..self.shape.sets).map(|set| self.set_loads(set)).collect();
+        let limits = rebalance::GroupLimits {
+            set: self.shape.limits,
+            max_new_per_rank: self.shape.sets.div_ceil(SETS_PER_COPY),
+        };
+        let map = rebalance::rebalance_group(current, &loads, &self.slowness, limits, copy_cost);
         let skew_after = self.skew(&map);
         let copies = map.iter().zip(current).map(|(new, old)| new.copies_from(old)).sum();
         (skew_before - skew_after >= MIN_SKEW_REDUCTION).then_some(Plan {
@@ -222,18 +209,6 @@
         })
     }
 
-    /// Returns how many new experts a rank may receive with the next map, of each set and of all sets together, given
-    /// the mean skew of the active map.
-    fn copy_limits(&self, skew: f64) -> (usize, usize) {
-        let per_set = self.shape.limits.max_new_per_rank;
-        if skew < URGENT_SKEW {
-            (per_set, per_set * self.shape.sets)
-        } else {
-            let total = self.shape.sets.div_ceil(URGENT_SETS_PER_COPY);
-            (per_set.min(URGENT_MAX_NEW_PER_RANK), total)
-        }
-    }
-
     fn set_loads(&self, set: usize) -> &[f64] {
         self.set_slice(&self.loads, set)
     }
--- a/crates/expert-map/src/rebalance.rs
+++ b/crates/expert-map/src/rebalance.rs
@@ -18,6 +18,15 @@
     pub max_new_per_rank: usize,
 }
 
+/// Limits of a new map of all sets of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GroupLimits {
+    /// The limits of each set.
+    pub set: RebalanceLimits,
+    /// The largest number of experts of all sets together that a rank may newly receive in one map.
+    pub max_new_per_rank: usize,
+}
+
 /// The assignment of the experts of one set to ranks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Placement {
@@ -125,10 +134,9 @@
     /// Sum of [`exp_term`](Self::exp_term) over `rank_loads`.
     exp_sum: f64,
     evaluated_changes: u64,
-    /// The largest number of experts that a rank may hold.
-    max_per_rank: usize,
-    /// The number of new experts that each rank may receive.
-    new_allowed: &'a [usize],
+    limits: GroupLimits,
+    /// The number of experts of the other sets that each rank newly receives.
+    new_elsewhere: Vec<usize>,
 }
 
 /// The result of a search for a new placement.
@@ -151,59 +159,91 @@
     limits: RebalanceLimits,
     copy_cost: f64,
 ) -> Rebalanced {
-    let new_allowed = vec![limits.max_new_per_rank; before.ranks.len()];
-    rebalance_within(before, loads, slowness, limits.max_per_rank, &new_allowed, copy_cost)
+    let limits = GroupLimits {
+        set: limits,
+        max_new_per_rank: limits.max_new_per_rank,
+    };
+    let mut search = Search::new(before, loads, slowness, limits);
+    search.improve(copy_cost);
+    Rebalanced {
+        evaluated_changes: search.evaluated_changes,
+        placement: search.placement,
+    }
 }
 
-/// Does the same as [`rebalance`] with a limit of its own for each rank: `new_allowed` is the number of new experts
-/// that each rank may receive.
-pub fn rebalance_within(
-    before: &Placement,
-    loads: &[f64],
+/// Searches for better placements of all sets of a group. `loads` has the loads of each set's experts.
+///
+/// The sets share each rank's limit of new experts, so the change with the largest gain in any set comes first.
+pub fn rebalance_group(
+    before: &[Placement],
+    loads: &[&[f64]],
     slowness: &[f64],
-    max_per_rank: usize,
-    new_allowed: &[usize],
+    limits: GroupLimits,
     copy_cost: f64,
-) -> Rebalanced {
-    let mean = loads.iter().sum::<f64>() / before.ranks.len().max(1) as f64;
-    if mean <= 0.0 {
-        return Rebalanced {
-            placement: before.clone(),
-            evaluated_changes: 0,
-        };
-    }
-    let loads: Vec<f64> = loads.iter().map(|load| load / mean).collect();
-    let mut search = Search {
-        holders: before.holders(loads.len()),
-        rank_loads: before.rank_loads(&loads, slowness),
-        slowness,
-        placement: before.clone(),
-        loads,
-        before,
-        largest: 0.0,
-        exp_sum: 0.0,
-        evaluated_changes: 0,
-        max_per_rank,
-        new_allowed,
-    };
-    search.refresh_totals();
-    let max_changes = before.ranks.len() * max_per_rank;
+) -> Vec<Placement> {
+    let sets = before.iter().zip(loads);
+    let mut searches: Vec<Search<'_>> = sets.map(|(b, l)| Search::new(b, l, slowness, limits)).collect();
+    let mut next: Vec<Option<(Change, f64)>> = searches.iter_mut().map(|s| s.best_change(copy_cost)).collect();
+    let max_changes = before.len() * slowness.len() * limits.set.max_per_rank;
     for _ in 0..max_changes {
-        let Some((change, gain)) = search.best_change(copy_cost) else {
+        let candidates = next.iter().enumerate().filter_map(|(set, n)| n.map(|n| (set, n)));
+        let best = candidates.max_by(|(_, (_, a)), (_, (_, b))| a.total_cmp(b));
+        let Some((set, (change, gain))) = best.filter(|(_, (_, gain))| *gain > 0.0) else {
             break;
         };
-        if gain <= 0.0 {
-            break;
+        if !searches[set].is_allowed(change) {
+            next[set] = searches[set].best_change(copy_cost);
+            continue;
         }
-        search.apply(change);
-    }
-    Rebalanced {
-        placement: search.placement,
-        evaluated_changes: search.evaluated_changes,
+        debug_assert!(gain > 0.0, "only improvements are applied");
+        let copies_before: Vec<usize> = searches[set].placement.rank_copies_from(searches[set].before).collect();
+        searches[set].apply(change);
+        let copies: Vec<usize> = searches[set].placement.rank_copies_from(searches[set].before).collect();
+        for (other, search) in searches.iter_mut().enumerate().filter(|(other, _)| *other != set) {
+            debug_assert_ne!(other, set, "a set's own experts are counted separately");
+            for (rank, count) in search.new_elsewhere.iter_mut().enumerate() {
+                *count = *count + copies[rank] - copies_before[rank];
+            }
+        }
+        next[set] = searches[set].best_change(copy_cost);
     }
+    searches.into_iter().map(|search| search.placement).collect()
 }
 
-impl Search<'_> {
+impl<'a> Search<'a> {
+    fn new(before: &'a Placement, loads: &[f64], slowness: &'a [f64], limits: GroupLimits) -> Self {
+        let mean = loads.iter().sum::<f64>() / before.ranks.len().max(1) as f64;
+        // Without any load, all experts weigh nothing and no change has a gain.
+        let scale = if mean > 0.0 { mean.recip() } else { 0.0 };
+        let loads: Vec<f64> = loads.iter().map(|load| load * scale).collect();
+        let mut search = Self {
+            holders: before.holders(loads.len()),
+            rank_loads: before.rank_loads(&loads, slowness),
+            slowness,
+            placement: before.clone(),
+            loads,
+            before,
+            largest: 0.0,
+            exp_sum: 0.0,
+            evaluated_changes: 0,
+            limits,
+            new_elsewhere: vec![0; before.ranks.len()],
+        };
+        search.refresh_totals();
+        search
+    }
+
+    /// Applies the best change until none has a gain.
+    fn improve(&mut self, copy_cost: f64) {
+        let max_changes = self.before.ranks.len() * self.limits.set.max_per_rank;
+        for _ in 0..max_changes {
+            match self.best_change(copy_cost) {
+                Some((change, gain)) if gain > 0.0 => self.apply(change),
+                _ => break,
+            }
+        }
+    }
+
     /// Returns the change with the largest gain net of the cost of its copies.
     fn best_change(&mut self, copy_cost: f64) -> Option<(Change, f64)> {
         let mut order: Vec<usize> = (0..self.rank_loads.len()).collect();
@@ -235,7 +275,7 @@
     where
         F: FnMut(Change),
     {
-        let has_capacity = self.placement.ranks[to].len() < self.max_per_rank;
+        let has_capacity = self.placement.ranks[to].len() < self.limits.set.max_per_rank;
         let without_displacement = has_capacity.then_some(None);
         let displacements = self.placement.ranks[to].iter().copied().map(Some);
         for displaced in without_displacement.into_iter().chain(displacements) {
@@ -271,7 +311,9 @@
         let can_add = |rank: usize, expert: expert::Expert| {
             let held = &self.placement.ranks[rank];
             let new = held.iter().filter(|e| !self.before.holds(rank, **e)).count();
-            self.before.holds(rank, expert) || new < self.new_allowed[rank]
+            let fits =
+                new < self.limits.set.max_new_per_rank && new + self.new_elsewhere[rank] < self.limits.max_new_per_rank;
+            self.before.holds(rank, expert) || fits
         };
         let swap_fits =
             swapped.is_none_or(|(rank, expert)| !self.placement.holds(rank, expert) && can_add(rank, expert));
