--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -24,6 +24,7 @@
 pub mod expert_model;
 pub mod freshness;
 pub mod outage;
+pub mod pacing;
 pub mod placement;
 pub mod response_class;
 pub mod response_time;
--- a/crates/core/src/direct/outage.rs
+++ b/crates/core/src/direct/outage.rs
@@ -82,6 +82,11 @@
         self.failures.push((Arc::clone(endpoint), now));
     }
 
+    /// Returns the mean time that a streamed response takes to begin.
+    pub fn mean_response_time(&self) -> Duration {
+        self.response_time.mean()
+    }
+
     /// Returns whether the service is unavailable.
     pub fn is_unavailable(&self, now: time::Time) -> bool {
         let recent = self.failures.iter().filter(|(_, at)| now.since(*at) < FAILURE_MAX_AGE);
--- a/crates/core/src/direct/response_time.rs
+++ b/crates/core/src/direct/response_time.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Returns the mean time; zero until the first sample.
+    pub fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.mean)
+    }
+
     /// Returns a time that few responses exceed; zero until the first sample.
     pub fn upper_bound(&self) -> Duration {
         Duration::from_secs_f64(self.mean + BOUND_DEVIATIONS * self.deviation)
--- a/crates/core/src/direct/route.rs
+++ b/crates/core/src/direct/route.rs
@@ -29,6 +29,15 @@
     }
 }
 
+/// Times within which a streamed response is on time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamObjectives {
+    /// Longest time from the caller's request to the first event.
+    pub first_event: Duration,
+    /// Longest pause between two events.
+    pub pause: Duration,
+}
+
 /// A service that receives a share of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
@@ -57,6 +66,8 @@
     pub max_attempts: u32,
     /// Priority of requests; 0 is the most urgent.
     pub priority: u8,
+    /// The latency objectives of streamed responses, if they are declared.
+    pub objectives: Option<StreamObjectives>,
     /// Whether requests are accepted without an API key.
     pub is_public: bool,
 }
--- a/crates/core/tests/direct_access.rs
+++ b/crates/core/tests/direct_access.rs
@@ -23,6 +23,7 @@
         }],
         timeout: Duration::from_secs(1),
         max_attempts: 2,
+        objectives: None,
         priority: 1,
         is_public,
     })
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -123,7 +123,8 @@
                 pool::ConnectError::TimedOut => "connection timed out",
             };
             if e == pool::ConnectError::TimedOut {
-                cx.with_outage_detector(&endpoint.service, |o| o.record_failure(&endpoint.id, boot_clock::now()));
+                cx.outages
+                    .with(&endpoint.service, |o| o.record_failure(&endpoint.id, boot_clock::now()));
             }
             return Ok(failed(req_cx.attempts.not_sent(), why));
         }
@@ -137,7 +138,8 @@
         return Ok(failed(req_cx.attempts.not_sent(), "route moved to another service"));
     }
     if req_cx.attempts.sent_count() == 0 {
-        cx.with_retry_share(&endpoint.service, |share| share.record_request(now));
+        cx.retry_shares
+            .with(&endpoint.service, |share| share.record_request(now));
     }
     send_request(cx, req_cx, lease, slot, &grant, last_event_id).await
 }
@@ -185,13 +187,14 @@
             let now = boot_clock::now();
             cx.pool.close_idle(&slot.endpoint.id);
             cx.placement.borrow_mut().record_failure(&slot.endpoint.id, now);
-            cx.with_outage_detector(&slot.endpoint.service, |o| o.record_failure(&slot.endpoint.id, now));
+            cx.outages
+                .with(&slot.endpoint.service, |o| o.record_failure(&slot.endpoint.id, now));
             return Ok(failed(req_cx.attempts.lost(), "no answer in time"));
         }
     };
     if grant.route.kind.is_stream() {
         let answered = boot_clock::now();
-        cx.with_outage_detector(&slot.endpoint.service, |o| {
+        cx.outages.with(&slot.endpoint.service, |o| {
             o.record_response_start(&slot.endpoint.id, answered.since(now), answered);
         });
     }
@@ -221,7 +224,7 @@
         }
         let stalled = waited >= limit
             || (can_resume
-                && cx.with_outage_detector(&endpoint.service, |o| {
+                && cx.outages.with(&endpoint.service, |o| {
                     o.is_stalled_request(&endpoint.id, waited, boot_clock::now())
                 }));
         if stalled && request::can_move(cx, req_cx, &endpoint.service) {
@@ -278,7 +281,7 @@
         }
         response_class::ResponseClass::Refused => {
             if head.failed_dependency.is_some() {
-                cx.with_outage_detector(&slot.endpoint.service, |o| o.record_failure(&id, now));
+                cx.outages.with(&slot.endpoint.service, |o| o.record_failure(&id, now));
             } else {
                 cx.placement.borrow_mut().record_refusal(&id, now);
             }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
-use sycamorestile_core::direct::{drain, outage, placement, retry_share};
+use sycamorestile_core::direct::{drain, outage, pacing, placement, retry_share};
 use sycamorestile_core::time;
 use sycamorestile_table::boot_clock;
 use tokio::sync::watch;
@@ -16,6 +16,7 @@
 use crate::header_adapter;
 use crate::metrics;
 use crate::pool;
+use crate::service_map;
 use crate::settings;
 use crate::snapshot;
 
@@ -27,10 +28,10 @@
     pub(crate) header_adapter: header_adapter::HeaderAdapter,
     pub(crate) snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
     pub(crate) placement: RefCell<placement::Placement>,
-    /// This instance's share of each service's retry budget, sorted by service.
-    pub(crate) retry_shares: RefCell<Vec<(Arc<str>, retry_share::RetryShare)>>,
-    /// The outage detector of each service, sorted by service.
-    pub(crate) outages: RefCell<Vec<(Arc<str>, outage::OutageDetector)>>,
+    /// This instance's share of each service's retry budget.
+    pub(crate) retry_shares: service_map::ServiceMap<retry_share::RetryShare>,
+    pub(crate) outages: service_map::ServiceMap<outage::OutageDetector>,
+    pub(crate) pacings: service_map::ServiceMap<pacing::Pacing>,
     pub(crate) pool: pool::Pool,
     pub(crate) rng: RefCell<ChaCha8Rng>,
     pub(crate) metrics: metrics::Metrics,
@@ -59,39 +60,6 @@
     pub(crate) fn random_fraction(&self) -> f64 {
         self.rng.borrow_mut().random()
     }
-
-    /// Calls `f` with the outage detector of `service`.
-    pub(crate) fn with_outage_detector<F, R>(&self, service: &Arc<str>, f: F) -> R
-    where
-        F: FnOnce(&mut outage::OutageDetector) -> R,
-    {
-        let mut outages = self.outages.borrow_mut();
-        let at = match outages.binary_search_by(|(s, _)| s.cmp(service)) {
-            Ok(at) => at,
-            Err(at) => {
-                outages.insert(at, (Arc::clone(service), outage::OutageDetector::default()));
-                at
-            }
-        };
-        f(&mut outages[at].1)
-    }
-
-    /// Calls `f` with this instance's share of the retry budget of `service`.
-    pub(crate) fn with_retry_share<F, R>(&self, service: &Arc<str>, f: F) -> R
-    where
-        F: FnOnce(&mut retry_share::RetryShare) -> R,
-    {
-        let mut shares = self.retry_shares.borrow_mut();
-        let at = match shares.binary_search_by(|(s, _)| s.cmp(service)) {
-            Ok(at) => at,
-            Err(at) => {
-                let share = retry_share::RetryShare::new(self.settings.retry_limit);
-                shares.insert(at, (Arc::clone(service), share));
-                at
-            }
-        };
-        f(&mut shares[at].1)
-    }
 }
 
 /// A guard that counts a request as in flight until it is dropped.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod response_body;
 mod run;
 mod server;
+mod service_map;
 pub mod settings;
 mod snapshot;
 mod stream_forwarder;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -5,11 +5,13 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use http::Response;
 use sycamorestile_core::direct::{admission, attempts, outage};
 use sycamorestile_core::problem;
 use sycamorestile_table::boot_clock;
+use tokio::time;
 
 use crate::attempt;
 use crate::context;
@@ -19,6 +21,9 @@
 use crate::response_body;
 use crate::stream_forwarder;
 
+/// The interval at which a delayed stream checks whether passes are short again.
+const PASS_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Forwards `call` to endpoints and returns the response for the caller.
 pub(crate) async fn forward(
     cx: &Rc<context::GatewayContext>,
@@ -30,6 +35,8 @@
         tried: Vec::new(),
         last_failure: "none",
         detail: String::new(),
+        first_byte_after: None,
+        longest_pause: Duration::ZERO,
         is_logged: Cell::new(false),
         cx: Rc::clone(cx),
         call,
@@ -38,6 +45,7 @@
         req_cx.detail.clone_from(&problem.detail);
         return request::finish(cx, &req_cx, refuse::response(cx, &problem), problem.kind.slug());
     }
+    wait_for_short_passes(cx, &req_cx.call).await;
     let mut last_event_id = req_cx.call.head.last_event_id.clone();
     loop {
         let result = attempt::run(cx, &mut req_cx, last_event_id.as_deref()).await;
@@ -65,6 +73,26 @@
     }
 }
 
+/// Delays a stream while the passes of its group are too long, as long as its first event can still be in time.
+async fn wait_for_short_passes(cx: &context::GatewayContext, call: &handle::Call) {
+    let Some((objectives, target)) = call.grant.route.objectives.zip(call.grant.route.targets.first()) else {
+        return;
+    };
+    if !call.grant.route.kind.is_stream() {
+        return;
+    }
+    loop {
+        let now = boot_clock::now();
+        let response_time = cx.outages.with(&target.service, |o| o.mean_response_time());
+        let waited = now.since(call.started);
+        let pacing = cx.pacings.with(&target.service, |p| *p);
+        if !pacing.should_wait(&objectives, waited, response_time, now) {
+            return;
+        }
+        time::sleep(PASS_CHECK_INTERVAL).await;
+    }
+}
+
 /// Checks whether the service has capacity for a stream, and returns the problem to report if it has none.
 ///
 /// Requests to routes of other kinds are always admitted.
@@ -75,7 +103,7 @@
     let snapshot = cx.snapshot();
     let target = call.grant.route.targets.first()?;
     let now = boot_clock::now();
-    if cx.with_outage_detector(&target.service, |o| o.next_action(now)) == outage::OutageAction::Reject {
+    if cx.outages.with(&target.service, |o| o.next_action(now)) == outage::OutageAction::Reject {
         let detail = "the service is unavailable";
         return Some(refuse::with_wait(
             cx,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -49,6 +49,10 @@
     pub(crate) last_failure: &'static str,
     /// The reason for a refusal before the first attempt.
     pub(crate) detail: String,
+    /// The time from the start of the request to the head of a streamed response.
+    pub(crate) first_byte_after: Option<Duration>,
+    /// The longest pause between two events of a streamed response.
+    pub(crate) longest_pause: Duration,
     /// Whether the end of the request was logged.
     pub(crate) is_logged: Cell<bool>,
     pub(crate) cx: Rc<context::GatewayContext>,
@@ -104,15 +108,13 @@
     match next {
         attempts::NextAttempt::End(outcome) => Some(problem_kind(outcome)),
         // All endpoints of the service would refuse the request too, and only after a stall.
-        attempts::NextAttempt::Send { .. }
-            if is_stream && cx.with_outage_detector(service, |o| o.is_unavailable(now)) =>
-        {
+        attempts::NextAttempt::Send { .. } if is_stream && cx.outages.with(service, |o| o.is_unavailable(now)) => {
             Some(problem_kind(req_cx.attempts.failure_outcome()))
         }
         attempts::NextAttempt::Send { repeat: false } => None,
         attempts::NextAttempt::Send { repeat: true } => {
             let instances = instance_count(cx, now);
-            if cx.with_retry_share(service, |share| share.try_spend(now, instances)) {
+            if cx.retry_shares.with(service, |share| share.try_spend(now, instances)) {
                 cx.metrics.record_repeated_send();
                 None
             } else {
@@ -131,7 +133,7 @@
         .borrow()
         .has_usable(snapshot.endpoints_of(service), &req_cx.tried, now);
     let instances = instance_count(cx, now);
-    has_other && req_cx.attempts.may_abandon() && cx.with_retry_share(service, |share| share.can_spend(now, instances))
+    has_other && req_cx.attempts.may_abandon() && cx.retry_shares.with(service, |share| share.can_spend(now, instances))
 }
 
 /// Returns the number of instances that share the retry budget.
@@ -168,7 +170,7 @@
 pub(crate) fn retry_wait(cx: &context::GatewayContext, req_cx: &RequestContext) -> Duration {
     let target = req_cx.call.grant.route.targets.first();
     let now = boot_clock::now();
-    let is_unavailable = target.is_some_and(|t| cx.with_outage_detector(&t.service, |o| o.is_unavailable(now)));
+    let is_unavailable = target.is_some_and(|t| cx.outages.with(&t.service, |o| o.is_unavailable(now)));
     if is_unavailable {
         OUTAGE_RETRY_AFTER
     } else {
@@ -208,6 +210,8 @@
         "organisation" => req_cx.call.organisation().map(AsRef::as_ref), "status" => status, "reason" => reason,
         "last" => req_cx.last_failure, "detail" => &req_cx.detail, "endpoints" => req_cx.tried.join(","),
         "sent" => req_cx.attempts.sent_count(), "ms" => took.as_millis() as u64,
+        "first_ms" => req_cx.first_byte_after.map(|t| t.as_millis() as u64),
+        "longest_pause_ms" => req_cx.longest_pause.as_millis() as u64,
         "left_ms" => req_cx.call.deadline.since(now).as_millis() as u64,
         "version" => snapshot.declared.as_ref().map(|d| d.version),
         "age_ms" => snapshot.freshness.age(now).map(|a| a.as_millis() as u64));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,7 +6,7 @@
 
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info, warn};
-use sycamorestile_core::direct::{drain, placement};
+use sycamorestile_core::direct::{drain, outage, pacing, placement, retry_share};
 use sycamorestile_table::{adapter, boot_clock};
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
@@ -24,6 +24,7 @@
 use crate::peers;
 use crate::pool;
 use crate::server;
+use crate::service_map;
 use crate::settings;
 
 /// The time for which a draining gateway still accepts connections. The platform's balancer checks readiness once a
@@ -66,13 +67,15 @@
     let monitoring_listener = server::bind("monitoring", settings.monitoring)?;
     let (drain_tx, draining) = watch::channel(false);
     let peers_addr = settings.peers;
+    let retry_limit = settings.retry_limit;
     let cx = Rc::new(context::GatewayContext {
         settings,
         header_adapter,
         snapshots: control.snapshots,
         placement: RefCell::new(placement::Placement::default()),
-        retry_shares: RefCell::default(),
-        outages: RefCell::default(),
+        retry_shares: service_map::ServiceMap::new(move || retry_share::RetryShare::new(retry_limit)),
+        outages: service_map::ServiceMap::new(outage::OutageDetector::default),
+        pacings: service_map::ServiceMap::new(pacing::Pacing::default),
         pool: pool::Pool::default(),
         rng: RefCell::new(rand::make_rng::<ChaCha8Rng>()),
         metrics: metrics::Metrics::new(),
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -33,7 +33,9 @@
     open: attempt::OpenStream,
     last_event_id: Option<String>,
 ) -> Response<response_body::ResponseBody> {
+    let mut req_cx = req_cx;
     let took = boot_clock::now().since(req_cx.call.started);
+    req_cx.first_byte_after = Some(took);
     cx.metrics
         .observe_first_byte(req_cx.call.organisation(), req_cx.call.kind(), took);
     let (tx, rx) = mpsc::channel(STREAM_QUEUE_CAPACITY);
@@ -142,6 +144,7 @@
     async fn forward(&mut self, body: &mut Incoming, endpoint: &endpoint::Endpoint) -> StreamEnd {
         let service = &endpoint.service;
         let mut last_event_at = boot_clock::now();
+        let mut is_under_way = false;
         loop {
             let remaining = self.req_cx.call.deadline.since(boot_clock::now());
             if remaining.is_zero() {
@@ -175,9 +178,17 @@
                 }
                 continue;
             }
-            last_event_at = boot_clock::now();
+            let now = boot_clock::now();
+            let pause = now.since(last_event_at);
+            last_event_at = now;
+            if is_under_way {
+                self.cx.pacings.with(service, |p| p.record_pause(pause, now));
+                self.req_cx.longest_pause = self.req_cx.longest_pause.max(pause);
+            }
+            is_under_way = true;
             self.cx
-                .with_outage_detector(service, |o| o.record_progress(&endpoint.id, last_event_at));
+                .outages
+                .with(service, |o| o.record_progress(&endpoint.id, last_event_at));
             if self.tx.send(Ok(events)).await.is_err() {
                 return StreamEnd::CallerDisconnected;
             }
@@ -188,7 +199,7 @@
     /// endpoint. Otherwise it is not cut, since it may only be slow.
     fn is_stalled(&self, endpoint: &endpoint::Endpoint, last_event_at: Time) -> bool {
         let now = boot_clock::now();
-        self.cx.with_outage_detector(&endpoint.service, |o| {
+        self.cx.outages.with(&endpoint.service, |o| {
             o.is_stalled_connection(now.since(last_event_at), now)
         }) && request::can_move(&self.cx, &self.req_cx, &endpoint.service)
     }
