Start streams between long passes, and read counts more often

Hypothesis: a stream that starts while passes are long is late itself and its prompt lengthens the passes of all others; if it waits until they are short again and its first event is still in time, all gain.

Hypothesis: the time from a shift to its plan (0.25 to 0.35 s) is mostly waiting for counts.

--- a/crates/core/src/direct/pacing.rs
+++ b/crates/core/src/direct/pacing.rs
@@ -10,6 +10,9 @@
 use crate::direct::route;
 use crate::time;
 
+/// Duration of a pass, as a share of the accepted pause, from which streams wait. Passes get longer from one to the next
+/// after a shift of demand, and one that is too long makes all running streams late.
+const LONG_PASS: f64 = 0.7;
 /// Age at which the last observed pass says nothing about the current one.
 const PASS_MAX_AGE: Duration = Duration::from_millis(600);
 
@@ -42,6 +45,8 @@
     ) -> bool {
         let since = now.since(self.ended_at);
         let pass = self.last_pass.max(since);
-        since < PASS_MAX_AGE && pass > objectives.pause && waited + response_time < objectives.first_event
+        since < PASS_MAX_AGE
+            && pass > objectives.pause.mul_f64(LONG_PASS)
+            && waited + response_time < objectives.first_event
     }
 }
--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -25,7 +25,7 @@
 use crate::table_client;
 
 /// Shortest heartbeat interval of a coordinator while no map switch is in progress.
-const IDLE_INTERVAL: Duration = Duration::from_millis(125);
+const IDLE_INTERVAL: Duration = Duration::from_millis(80);
 /// Shortest heartbeat interval while a map switch is in progress.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(50);
 /// Heartbeat interval per rank while no map switch is in progress. It covers the CPU time for one rank's status on the
--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -32,9 +32,9 @@
 /// Time after which a map switch that is not complete is abandoned, unless a rank is held or armed.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Interval at which counts are aggregated and maps are planned.
-const PLAN_INTERVAL: Duration = Duration::from_millis(120);
+const PLAN_INTERVAL: Duration = Duration::from_millis(80);
 /// Planning interval after a shift in demand. The counts of two passes are enough to show the new demand.
-const SETTLING_PLAN_INTERVAL: Duration = Duration::from_millis(80);
+const SETTLING_PLAN_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between ordering a hold and the pass that is held, in which all ranks should be armed.
 const HOLD_LEAD_TIME: Duration = Duration::from_millis(80);
 /// Smallest number of passes between ordering a hold and the pass that is held.
