Never take a late copy for the response to a request without attempt id

Cause: a response was checked against the attempt's identifier only if the request had one. On a kept connection, a late second copy of an earlier response answered the next request if that named no attempt. Change: a response that names an attempt is not trusted for a request that names none. Test: late_surplus_response_does_not_answer_a_request_without_attempt_id; without the change it fails ('the response belongs to own-1: late').

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -266,7 +266,8 @@
     let facts = response_class::ResponseFacts {
         status: parts.status.as_u16(),
         matches_attempt: match attempt_id {
-            None => Some(true),
+            // A response that names an attempt belongs to a request that did.
+            None => Some(head.attempt.is_none()),
             Some(attempt_id) => head.attempt.as_ref().map(|id| id == attempt_id),
         },
         not_run: head.not_run,
