Finish accepted connections before a planned stop

Cause: a draining gateway exited as soon as no request was in flight. Change: the listener is closed first, after everything in its queue was accepted; then open connections are finished, for at most 250 ms. What is left is the moment between the last accept and closing the listener: the kernel resets a connection there that no process has read.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -36,7 +36,9 @@
     pub(crate) rng: RefCell<ChaCha8Rng>,
     pub(crate) metrics: metrics::Metrics,
     /// The number of requests whose responses are not yet fully written.
-    pub(crate) in_flight: Cell<usize>,
+    pub(crate) in_flight: Rc<Cell<usize>>,
+    /// The number of open connections to callers and to the monitoring address.
+    pub(crate) open_connections: Rc<Cell<usize>>,
     /// Whether the process is draining.
     pub(crate) draining: watch::Receiver<bool>,
     /// When draining started.
@@ -62,20 +64,22 @@
     }
 }
 
-/// A guard that counts a request as in flight until it is dropped.
-pub(crate) struct InFlightGuard {
-    cx: Rc<GatewayContext>,
+/// A guard that is counted until it is dropped.
+pub(crate) struct CountGuard {
+    count: Rc<Cell<usize>>,
 }
 
-impl InFlightGuard {
-    pub(crate) fn new(cx: &Rc<GatewayContext>) -> Self {
-        cx.in_flight.set(cx.in_flight.get() + 1);
-        Self { cx: Rc::clone(cx) }
+impl CountGuard {
+    pub(crate) fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self {
+            count: Rc::clone(count),
+        }
     }
 }
 
-impl Drop for InFlightGuard {
+impl Drop for CountGuard {
     fn drop(&mut self) {
-        self.cx.in_flight.set(self.cx.in_flight.get() - 1);
+        self.count.set(self.count.get() - 1);
     }
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -86,7 +86,7 @@
     watch: idle_watch::IdleWatch,
     req: Request<Incoming>,
 ) -> Response<response_body::ResponseBody> {
-    let (in_flight, busy) = (context::InFlightGuard::new(&cx), watch.request_started());
+    let (in_flight, busy) = (context::CountGuard::new(&cx.in_flight), watch.request_started());
     let response = respond(&cx, req).await;
     response.map(|body| body.with_guards(in_flight, busy))
 }
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -29,7 +29,7 @@
 pub(crate) struct ResponseBody {
     source: BodySource,
     /// The guards that are dropped together with the body, when the response is written.
-    guards: Option<(context::InFlightGuard, idle_watch::BusyGuard)>,
+    guards: Option<(context::CountGuard, idle_watch::BusyGuard)>,
 }
 
 impl ResponseBody {
@@ -50,7 +50,7 @@
     }
 
     /// Keeps the request in flight and the connection busy until the body is dropped.
-    pub(crate) fn with_guards(mut self, in_flight: context::InFlightGuard, busy: idle_watch::BusyGuard) -> Self {
+    pub(crate) fn with_guards(mut self, in_flight: context::CountGuard, busy: idle_watch::BusyGuard) -> Self {
         self.guards = Some((in_flight, busy));
         self
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,8 +11,8 @@
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
-use tokio::task::LocalSet;
+use tokio::sync::{oneshot, watch};
+use tokio::task::{JoinHandle, LocalSet};
 use tokio::time;
 
 use crate::context;
@@ -30,8 +30,12 @@
 /// The time for which a draining gateway still accepts connections. The platform's balancer checks readiness once a
 /// second and stops sending new connections after two failed checks.
 const ACCEPT_WHILE_DRAINING: Duration = Duration::from_millis(2_600);
+/// How long a gateway that accepts no more connections waits for requests on those that are open.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(250);
 /// The interval at which a draining gateway checks whether all requests are complete.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The same interval while the last connections are served.
+const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Runs a gateway with the platform's `header_adapter` and `adapter`.
 ///
@@ -79,7 +83,8 @@
         pool: pool::Pool::default(),
         rng: RefCell::new(rand::make_rng::<ChaCha8Rng>()),
         metrics: metrics::Metrics::new(),
-        in_flight: Cell::new(0),
+        in_flight: Rc::default(),
+        open_connections: Rc::default(),
         draining,
         drain_started: Cell::new(None),
         log,
@@ -91,11 +96,17 @@
     };
     let socket = UdpSocket::bind(peers_addr).await.map_err(bind)?;
     tokio::task::spawn_local(peers::run(Rc::clone(&cx), socket, control.peer_reads));
-    tokio::task::spawn_local(server::accept(Rc::clone(&cx), callers, handle::handle));
+    let (close_tx, close_rx) = oneshot::channel::<()>();
+    let closing = async move {
+        // A dropped sender means that the process is exiting, which is treated the same.
+        let _closing = close_rx.await;
+    };
+    let accepting = tokio::task::spawn_local(server::accept(Rc::clone(&cx), callers, handle::handle, closing));
     tokio::task::spawn_local(server::accept(
         Rc::clone(&cx),
         monitoring_listener,
         handle::handle_monitoring,
+        std::future::pending(),
     ));
     info!(cx.log, "gateway started"; "instance" => cx.settings.instance.as_ref(),
         "failure_domain" => cx.settings.failure_domain.as_ref(), "callers" => %cx.settings.callers,
@@ -104,7 +115,9 @@
     cx.drain_started.set(Some(boot_clock::now()));
     drain_tx.send_replace(true);
     drain(&cx).await;
-    info!(cx.log, "gateway stopped"; "in_flight" => cx.in_flight.get());
+    drop(close_tx);
+    finish_connections(&cx, accepting).await;
+    info!(cx.log, "gateway stopped"; "in_flight" => cx.in_flight.get(), "open" => cx.open_connections.get());
     Ok(())
 }
 
@@ -133,3 +146,14 @@
         time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
+
+/// Serves the requests on connections that were accepted before the listener was closed. A connection without a request
+/// is closed after a moment.
+async fn finish_connections(cx: &context::GatewayContext, accepting: JoinHandle<()>) {
+    // The task only ends early if it panics, in which case there is nothing to wait for.
+    let _accepted = accepting.await;
+    let end = time::Instant::now() + FINISH_TIMEOUT;
+    while cx.open_connections.get() > 0 && time::Instant::now() < end {
+        time::sleep(FINISH_POLL_INTERVAL).await;
+    }
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -38,23 +38,54 @@
     bound.map_err(|source| error::GatewayError::Bind { what, addr, source })
 }
 
-/// Accepts connections and responds to their requests with `respond` until the process exits.
-pub(crate) async fn accept<F, R>(cx: Rc<context::GatewayContext>, listener: TcpListener, respond: F)
+/// Accepts connections and responds to their requests with `respond` until `stop` completes.
+///
+/// Connections that are waiting to be accepted at that time are still accepted, since their callers may already have
+/// sent a request. Later ones are refused.
+pub(crate) async fn accept<F, R, S>(cx: Rc<context::GatewayContext>, listener: TcpListener, respond: F, stop: S)
 where
     F: Fn(Rc<context::GatewayContext>, idle_watch::IdleWatch, Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Response<response_body::ResponseBody>> + 'static,
+    S: Future<Output = ()>,
 {
+    let mut stop = std::pin::pin!(stop);
+    let serve_connection = |stream| {
+        let (cx, respond) = (Rc::clone(&cx), respond.clone());
+        let open = context::CountGuard::new(&cx.open_connections);
+        tokio::task::spawn_local(async move {
+            serve(cx, stream, respond).await;
+            drop(open);
+        });
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(Rc::clone(&cx), stream, respond.clone()));
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.as_mut() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve_connection(stream),
             Err(e) => {
                 warn!(cx.log, "failed to accept a connection"; "error" => %e);
                 time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    // Accepting directly does not depend on whether the runtime has already noticed these connections.
+    let waiting = listener.into_std().map(|listener| {
+        let accepted = std::iter::from_fn(|| listener.accept().ok());
+        accepted
+            .filter_map(|(stream, _)| into_tokio(stream).ok())
+            .collect::<Vec<_>>()
+    });
+    match waiting {
+        Ok(streams) => streams.into_iter().for_each(serve_connection),
+        Err(e) => warn!(cx.log, "failed to accept the last connections"; "error" => %e),
+    }
+}
+
+fn into_tokio(stream: std::net::TcpStream) -> std::io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
 }
 
 /// Serves one connection until either side closes it, a timeout expires or the gateway has drained.
