Tell gateways which ranks are slow, and move streams off them

Passes take 0.4 to 0.8 s meanwhile, although the map takes the experts off the rank, because the rank's own streams keep the group waiting and gateways send it more. Change: an agent writes its rank's slowness to its row when it changes by a quarter; gateways follow the rows. A slow rank's load counts as many times as it is slower, in placement and in admission. Resumable streams leave a rank that reports to be three times slower, if another attempt, another endpoint and the retry share allow it: the connection is closed, and the stream continues after its last event.

--- a/crates/core/src/direct/endpoint.rs
+++ b/crates/core/src/direct/endpoint.rs
@@ -25,6 +25,8 @@
     pub failure_domain: Arc<str>,
     /// Number of requests that the endpoint runs concurrently.
     pub slots: u32,
+    /// Time that the endpoint takes for the same work relative to others, in percent; 100 unless it is known to be slow.
+    pub slowness_percent: u32,
     /// Whether the endpoint accepts new requests.
     pub state: EndpointState,
 }
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -29,6 +29,9 @@
 const FAILURE_LOAD_PENALTY: f64 = 2.0;
 /// Load that is added for an endpoint in another failure domain, as a share of its slots.
 const REMOTE_DOMAIN_PENALTY: f64 = 0.04;
+/// Slowness at which running streams leave an endpoint, in percent. A group waits for all its ranks, so a few streams on
+/// a slow rank delay those of all others, while moving a stream only costs reading its prompt again.
+const MIN_LEAVE_SLOWNESS_PERCENT: u32 = 300;
 /// Number of randomly sampled endpoints that each choice compares.
 const SAMPLE_SIZE: usize = 3;
 /// Number of random seeds that values of `chance` are mapped to.
@@ -77,6 +80,12 @@
     peers: Vec<Peer>,
 }
 
+/// Returns whether running streams should leave `endpoint`, which has reported that it is much slower than others. An
+/// endpoint that is merely silent has not.
+pub fn should_leave(endpoint: &endpoint::Endpoint) -> bool {
+    endpoint.slowness_percent >= MIN_LEAVE_SLOWNESS_PERCENT
+}
+
 /// The load of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServiceLoad {
@@ -233,8 +242,13 @@
     }
 
     /// Returns the load of `endpoint` as a share of its slots.
+    ///
+    /// A slow endpoint has the load that another one would have which takes as long for its requests and one more. All
+    /// ranks of a group wait for the slowest one, so a request costs more there even if nothing else runs.
     fn load(&self, endpoint: &endpoint::Endpoint, now: time::Time) -> f64 {
-        f64::from(self.in_flight(&endpoint.id, now)) / f64::from(endpoint.slots.max(1))
+        let slowness = f64::from(endpoint.slowness_percent) / 100.0;
+        let with_request = f64::from(self.in_flight(&endpoint.id, now) + 1) * slowness;
+        (with_request - 1.0) / f64::from(endpoint.slots.max(1))
     }
 
     fn failure_rate(&self, id: &str) -> f64 {
--- a/crates/core/tests/direct_endpoint_set.rs
+++ b/crates/core/tests/direct_endpoint_set.rs
@@ -14,6 +14,7 @@
         addr: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         failure_domain: Arc::from("a"),
         slots: 6,
+        slowness_percent: 100,
         state,
     }
 }
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -19,6 +19,7 @@
         addr: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         failure_domain: Arc::from(["a", "b", "c"][n % 3]),
         slots: 12,
+        slowness_percent: 100,
         state: EndpointState::Ready,
     };
     (0..RANKS).map(|n| Arc::new(endpoint(n))).collect()
@@ -137,3 +138,29 @@
     assert_eq!(placement.in_flight(&endpoints[0].id, Time::from_millis(4_000)), 0);
     assert_eq!(placement.live_peers(Time::from_millis(4_000)), 0);
 }
+
+#[test]
+fn a_slow_rank_gets_few_requests() {
+    // All ranks of a group wait for the slowest one, so a rank that takes ten times as long must get less than a tenth
+    // of the requests that the others get, and it must not keep a full group open for more.
+    let mut all = endpoints();
+    let slow = Arc::make_mut(&mut all[0]);
+    slow.slowness_percent = 1_000;
+    let slow_id = Arc::clone(&slow.id);
+    let mut placement = Placement::default();
+    let mut to_slow = 0;
+    let total = 10 * all.len() as u32;
+    for n in 0..total {
+        let chance = f64::from(n) / f64::from(total);
+        let chosen = placement
+            .choose(&all, &[], "a", chance, Time::from_millis(1_000))
+            .expect("an endpoint is usable");
+        to_slow += u32::from(chosen.id == slow_id);
+        placement.attempt_started(&chosen.id);
+    }
+    assert!(to_slow <= 1, "{to_slow} of {total} requests at the slow rank");
+    assert!(
+        placement.service_load(&all, Time::from_millis(1_000)).min_load > 0.7,
+        "the idle slow rank counts as capacity"
+    );
+}
--- a/crates/expert-map/src/lib.rs
+++ b/crates/expert-map/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod replay;
 pub mod search;
 pub mod shape;
+pub mod slowness_report;
 pub mod switch;
 pub mod time_constant;
 pub mod trace;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -7,7 +7,7 @@
 use slog::{Logger, info, warn};
 use sycamorestile_core::direct::{confirmation, endpoint, endpoint_set};
 use sycamorestile_core::time;
-use sycamorestile_table::{adapter, boot_clock, client, feed};
+use sycamorestile_table::{adapter, boot_clock, client, feed, rank_row};
 use tokio::runtime::Builder;
 use tokio::sync::{mpsc, watch};
 use tokio::time as timer;
@@ -32,6 +32,11 @@
     max_wait: Duration::from_secs(25),
     batch_delay: Duration::from_millis(1_500),
 };
+/// The timing of the feed of ranks. All requests of a group are late while a slow rank gets a full share of them.
+const RANKS_TIMING: feed::PollTiming = feed::PollTiming {
+    max_wait: Duration::from_secs(25),
+    batch_delay: Duration::from_millis(400),
+};
 /// The timeout of the call that writes this gateway's own row.
 const PUBLISH_TIMEOUT: Duration = Duration::from_secs(3);
 /// The delay between attempts to write this gateway's own row.
@@ -101,6 +106,7 @@
         (adapter::Topic::Declarations, declarations_timing),
         (adapter::Topic::Endpoints, ENDPOINTS_TIMING),
         (adapter::Topic::Gateways, GATEWAYS_TIMING),
+        (adapter::Topic::MapAgents, RANKS_TIMING),
     ];
     let mut feed_controls = Vec::new();
     for (topic, timing) in topics {
@@ -168,6 +174,8 @@
 struct ControlState {
     adapter: adapter::TableAdapter,
     endpoint_set: endpoint_set::EndpointSet,
+    /// The rows of slow ranks, by the instance of their agents.
+    slow_ranks: Vec<(Arc<str>, rank_row::RankRow)>,
     snapshot: snapshot::Snapshot,
     /// The times at which this gateway and its peers read the declarations.
     confirmations: confirmation::ConfirmationWatch,
@@ -198,6 +206,7 @@
             is_reader: true,
             adapter,
             endpoint_set: endpoint_set::EndpointSet::default(),
+            slow_ranks: Vec::new(),
             snapshot: snapshot::Snapshot::default(),
             log,
         }
@@ -233,9 +242,13 @@
                 self.update_gateways(&rows);
             }
             (adapter::Topic::Gateways, feed::FeedEvent::Changes { rows, .. }) => self.update_gateways(&rows),
+            (adapter::Topic::MapAgents, feed::FeedEvent::Snapshot { rows, .. }) => {
+                self.slow_ranks.clear();
+                self.update_slow_ranks(&rows);
+            }
+            (adapter::Topic::MapAgents, feed::FeedEvent::Changes { rows, .. }) => self.update_slow_ranks(&rows),
             // The loss of the connection has no effect by itself, and a gateway does not follow the other topics.
-            (_, feed::FeedEvent::Unavailable | feed::FeedEvent::Recovered)
-            | (adapter::Topic::MapAgents | adapter::Topic::Leases, _) => {}
+            (_, feed::FeedEvent::Unavailable | feed::FeedEvent::Recovered) | (adapter::Topic::Leases, _) => {}
         }
     }
 
@@ -355,6 +368,11 @@
     /// Copies the usable endpoints to the snapshot if they changed.
     fn publish_endpoints(&mut self, cause: &str) {
         let mut ready = self.endpoint_set.ready();
+        for (_, row) in &self.slow_ranks {
+            for endpoint in ready.iter_mut().filter(|e| e.addr == row.rank) {
+                Arc::make_mut(endpoint).slowness_percent = row.slowness_percent;
+            }
+        }
         ready.sort_by(|a, b| (&a.service, &a.id).cmp(&(&b.service, &b.id)));
         if *self.snapshot.endpoints != ready {
             info!(self.log, "usable endpoints changed"; "ready" => ready.len(), "former" => self.snapshot.endpoints.len(), "cause" => cause);
@@ -362,6 +380,25 @@
         }
     }
 
+    /// Applies rows of ranks, of which only the slow ones are kept.
+    fn update_slow_ranks(&mut self, rows: &[adapter::Row]) {
+        let former = self.slow_ranks.clone();
+        for row in rows {
+            self.slow_ranks.retain(|(instance, _)| *instance != row.key);
+            let text = row.value.as_ref().and_then(|v| std::str::from_utf8(v).ok());
+            if let Some(rank) = text
+                .and_then(rank_row::RankRow::parse)
+                .filter(|r| r.slowness_percent > rank_row::NORMAL_SLOWNESS)
+            {
+                info!(self.log, "a rank is slow"; "instance" => row.key.as_ref(), "rank" => %rank.rank, "percent" => rank.slowness_percent, "version" => row.version);
+                self.slow_ranks.push((Arc::clone(&row.key), rank));
+            }
+        }
+        if self.slow_ranks != former {
+            self.publish_endpoints("speed of ranks");
+        }
+    }
+
     /// Applies rows of gateways to the snapshot.
     fn update_gateways(&mut self, rows: &[adapter::Row]) {
         let mut known = self.snapshot.gateways.as_ref().clone();
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use sycamorestile_core::direct::{attempts, endpoint, event_buffer};
+use sycamorestile_core::direct::{attempts, endpoint, event_buffer, placement};
 use sycamorestile_core::time::Time;
 use sycamorestile_table::boot_clock;
 use tokio::sync::mpsc;
@@ -146,6 +146,9 @@
         let mut last_event_at = boot_clock::now();
         let mut is_under_way = false;
         loop {
+            if self.is_on_slow_rank(endpoint) {
+                return StreamEnd::Failed("rank became slow");
+            }
             let remaining = self.req_cx.call.deadline.since(boot_clock::now());
             if remaining.is_zero() {
                 return StreamEnd::DeadlineExceeded;
@@ -204,6 +207,16 @@
         }) && request::can_move(&self.cx, &self.req_cx, &endpoint.service)
     }
 
+    /// Returns whether the stream should and can leave its endpoint, since that has become slow.
+    fn is_on_slow_rank(&self, endpoint: &endpoint::Endpoint) -> bool {
+        let snapshot = self.cx.snapshot();
+        let current = snapshot.endpoints_of(&endpoint.service);
+        current
+            .iter()
+            .any(|e| e.id == endpoint.id && placement::should_leave(e))
+            && request::can_move(&self.cx, &self.req_cx, &endpoint.service)
+    }
+
     /// Resumes the stream at another endpoint, after the last event that was forwarded.
     ///
     /// Returns `None` if the stream can't be resumed.
--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -6,12 +6,12 @@
 
 use slog::{Logger, info, warn};
 use sycamorestile_core::time::Time;
-use sycamorestile_expert_map::{held_switch, leadership};
-use sycamorestile_table::{adapter, boot_clock, client, feed};
+use sycamorestile_expert_map::{held_switch, leadership, slowness_report};
+use sycamorestile_table::{adapter, boot_clock, client, feed, rank_row};
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time;
 
@@ -116,6 +116,9 @@
     announced_hold: Option<coordinator::AnnouncedHold>,
     coordinator: Option<coordinator::Coordinator>,
     table_client: table_client::TableClient,
+    slowness_report: slowness_report::SlownessReport,
+    /// The rank's reported slowness, in percent.
+    slowness_tx: watch::Sender<u32>,
     /// Time before which neither a leadership number is claimed nor the map sizes are read.
     table_retry_at: Time,
     /// Ranks that are being queried directly.
@@ -153,6 +156,8 @@
             direct_tx,
             direct_rx,
             coordinator: None,
+            slowness_report: slowness_report::SlownessReport::default(),
+            slowness_tx: watch::Sender::new(rank_row::NORMAL_SLOWNESS),
             table_retry_at: now,
             log,
         }
@@ -172,9 +177,10 @@
             tx,
             self.log.clone(),
         ));
-        tokio::task::spawn_local(table_client::publish_location(
+        tokio::task::spawn_local(table_client::publish_row(
             self.settings.clone(),
             self.table_adapter,
+            self.slowness_tx.subscribe(),
             self.log.clone(),
         ));
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -307,6 +313,9 @@
             Ok(status) => {
                 self.membership = Some(status.membership.clone());
                 self.is_held = status.view.held.is_some();
+                if let Some(percent) = self.slowness_report.update(status.slowness) {
+                    self.slowness_tx.send_replace(percent);
+                }
                 Some(status)
             }
             Err(e) => {
--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -9,6 +9,7 @@
 use slog::{Logger, info};
 use sycamorestile_core::time::Time;
 use sycamorestile_expert_map::{group_planner, held_switch, pass_rate, rebalance};
+use sycamorestile_table::rank_row;
 
 use crate::message;
 use crate::rank_adapter;
@@ -214,7 +215,7 @@
 
     /// Returns whether the last status of the rank at `location` is so old that the rank should be queried directly. If
     /// there was none yet, the time since this coordinator started counts instead.
-    pub(crate) fn needs_direct_query(&self, location: message::AgentLocation, now: Time) -> bool {
+    pub(crate) fn needs_direct_query(&self, location: rank_row::RankRow, now: Time) -> bool {
         let is_of_agent =
             |k: &&KnownRank| k.route == RankRoute::Agent(location.agent) || k.route == RankRoute::Rank(location.rank);
         let newest = self
--- a/crates/map-agent/src/message.rs
+++ b/crates/map-agent/src/message.rs
@@ -39,31 +39,6 @@
     pub(crate) wants_counts: bool,
 }
 
-/// Addresses of an agent and its rank, which are the value of the agent's row in the table.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct AgentLocation {
-    /// UDP address of the agent.
-    pub(crate) agent: SocketAddr,
-    /// Address of the rank.
-    pub(crate) rank: SocketAddr,
-}
-
-impl AgentLocation {
-    /// Formats the value of the row.
-    pub(crate) fn to_text(self) -> String {
-        format!("{} {}", self.agent, self.rank)
-    }
-
-    /// Parses the value of the row.
-    pub(crate) fn parse(text: &str) -> Option<Self> {
-        let (agent, rank) = text.split_once(' ')?;
-        Some(Self {
-            agent: agent.parse().ok()?,
-            rank: rank.parse().ok()?,
-        })
-    }
-}
-
 /// An order for several ranks.
 ///
 /// Orders that carry a map are large and the network bandwidth of one instance is small. The coordinator therefore
--- a/crates/map-agent/src/peer_links.rs
+++ b/crates/map-agent/src/peer_links.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use slog::{Logger, warn};
-use sycamorestile_table::adapter;
+use sycamorestile_table::{adapter, rank_row};
 use tokio::net::UdpSocket;
 
 use crate::coordinator;
@@ -16,7 +16,7 @@
     pub(crate) socket: UdpSocket,
     instance: Arc<str>,
     /// All agents, this one included, by instance.
-    peers: Vec<(Arc<str>, message::AgentLocation)>,
+    peers: Vec<(Arc<str>, rank_row::RankRow)>,
     /// Offset into the list of orders from which the next map is distributed.
     rotation: usize,
     log: Logger,
@@ -37,7 +37,7 @@
     pub(crate) fn update_peer(&mut self, row: &adapter::Row) {
         self.peers.retain(|(instance, _)| *instance != row.key);
         let text = row.value.as_ref().and_then(|v| std::str::from_utf8(v).ok());
-        if let Some(location) = text.and_then(message::AgentLocation::parse) {
+        if let Some(location) = text.and_then(rank_row::RankRow::parse) {
             // A new agent may reuse the address of one that no longer exists.
             self.peers.retain(|(_, known)| known.agent != location.agent);
             self.peers.push((Arc::clone(&row.key), location));
@@ -45,7 +45,7 @@
     }
 
     /// Returns the locations of all agents and their ranks.
-    pub(crate) fn locations(&self) -> impl Iterator<Item = message::AgentLocation> {
+    pub(crate) fn locations(&self) -> impl Iterator<Item = rank_row::RankRow> {
         self.peers.iter().map(|(_, location)| *location)
     }
 
--- a/crates/map-agent/src/table_client.rs
+++ b/crates/map-agent/src/table_client.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use slog::{Logger, warn};
-use sycamorestile_table::{adapter, client};
+use slog::{Logger, info, warn};
+use sycamorestile_table::{adapter, client, rank_row};
 use thiserror::Error;
+use tokio::sync::watch;
 use tokio::time;
 
-use crate::message;
 use crate::rank_adapter;
 use crate::settings;
 
@@ -82,20 +82,35 @@
     }
 }
 
-/// Writes this agent's location to the table, so that other agents find it. Retries until the write succeeds.
-pub(crate) async fn publish_location(settings: settings::Settings, adapter: adapter::TableAdapter, log: Logger) {
+/// Writes this agent's row to the table, so that other agents find it, and again whenever the rank's slowness changes.
+/// Retries until each write succeeds.
+pub(crate) async fn publish_row(
+    settings: settings::Settings,
+    adapter: adapter::TableAdapter,
+    mut slowness_percent: watch::Receiver<u32>,
+    log: Logger,
+) {
     let mut client = client::Client::new(settings.table);
-    let location = message::AgentLocation {
-        agent: settings.peers,
-        rank: settings.rank,
-    };
-    let value = location.to_text();
     loop {
+        let row = rank_row::RankRow {
+            agent: settings.peers,
+            rank: settings.rank,
+            slowness_percent: *slowness_percent.borrow_and_update(),
+        };
+        let value = row.to_text();
         let body = (adapter.write_body)(adapter::Topic::MapAgents, &settings.instance, value.as_bytes(), None);
         match client.post(adapter.write_path, body, PUBLISH_TIMEOUT).await {
-            Ok(_) => return,
-            Err(e) => warn!(log, "failed to write the agent's row; retrying"; "error" => %e),
+            Ok(_) => {
+                info!(log, "agent's row written"; "slowness_percent" => row.slowness_percent);
+                // The sender is dropped when the agent stops.
+                if slowness_percent.changed().await.is_err() {
+                    return;
+                }
+            }
+            Err(e) => {
+                warn!(log, "failed to write the agent's row; retrying"; "error" => %e);
+                time::sleep(PUBLISH_RETRY_DELAY).await;
+            }
         }
-        time::sleep(PUBLISH_RETRY_DELAY).await;
     }
 }
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! [`adapter`] defines the paths and codecs that a platform provides, [`client`] makes HTTP calls over one persistent
 //! connection, and [`feed`] follows a topic: a full read and then its changes. The daemons also share the clock in
-//! [`boot_clock`] and the logger in [`log`].
+//! [`boot_clock`], the logger in [`log`] and the format of the rows of ranks in [`rank_row`].
 
 pub mod adapter;
 pub mod boot_clock;
 pub mod client;
 pub mod feed;
 pub mod log;
+pub mod rank_row;
