Serve connections accepted before a stop, and read on after a body that is too large

A body over the limit was dropped unread, so that the caller's writes failed with a reset before it read the 413. Change: at a stop the listener's queue is accepted first; a connection without a request yet gets 300 ms to send one. The rest of a body that is too large is read for up to 2 s and 64 MB, as in the gateway. Tests: crates/node/tests/http_server.rs; both failed before (connection reset). Conclusion: both repaired.

--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,7 +15,7 @@
 use hyper::service;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time;
 
 use crate::error;
@@ -27,6 +27,13 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time within which a request body must be received.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time for which the rest of a body that is too large is read. If the connection were closed with unread data, the
+/// caller would see a reset instead of the response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest part of such a body that is read and discarded, in bytes.
+const MAX_DISCARDED_BYTES: usize = 64 << 20;
+/// Time within which a connection that was accepted before a stop must send its request.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Delay after a failed accept, which usually means that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum size of a request head, in bytes.
@@ -92,23 +99,33 @@
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
+    let in_connections = stopped.clone();
+    let serve = |stream| {
+        connections.fetch_add(1, Ordering::AcqRel);
+        let (handler, stopped, open) = (handler.clone(), in_connections.clone(), Arc::clone(&connections));
+        tokio::spawn(async move {
+            serve_connection(stream, handler, stopped).await;
+            open.fetch_sub(1, Ordering::AcqRel);
+        });
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.changed() => return,
+            _ = stopped.changed() => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                connections.fetch_add(1, Ordering::AcqRel);
-                let (handler, stopped, open) = (handler.clone(), stopped.clone(), Arc::clone(&connections));
-                tokio::spawn(async move {
-                    serve_connection(stream, handler, stopped).await;
-                    open.fetch_sub(1, Ordering::AcqRel);
-                });
-            }
+            Ok((stream, _)) => serve(stream),
             Err(_) => time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
+    // Callers whose connections wait to be accepted may already have sent a request.
+    let waiting = listener.into_std().map(|listener| {
+        let accepted = std::iter::from_fn(|| listener.accept().ok());
+        let streams = accepted.filter_map(|(stream, _)| stream.set_nonblocking(true).ok().map(|()| stream));
+        streams.filter_map(|s| TcpStream::from_std(s).ok()).collect::<Vec<_>>()
+    });
+    // A listener that can't be converted has failed, so that nothing waits on it.
+    waiting.unwrap_or_default().into_iter().for_each(serve);
 }
 
 async fn serve_connection<F, R>(stream: TcpStream, handler: F, mut stopped: watch::Receiver<bool>)
@@ -118,7 +135,10 @@
 {
     // Avoids delaying small frames until earlier ones are acknowledged. A failure only costs latency.
     let _nodelay = stream.set_nodelay(true);
+    let requested = Arc::new(Notify::new());
+    let first_request = Arc::clone(&requested);
     let service = service::service_fn(move |req| {
+        requested.notify_one();
         let response = handler(req);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -131,8 +151,16 @@
     tokio::select! {
         // An error of the connection is not reported here, since each call has its own outcome.
         _ended = connection.as_mut() => return,
-        _ = stopped.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
+        _ = stopped.wait_for(|stop| *stop) => {}
+    }
+    // A connection without any request yet must not be shut down as idle: its request may be on the way. A permit of an
+    // earlier request ends the wait at once.
+    tokio::select! {
+        _ended = connection.as_mut() => return,
+        () = first_request.notified() => {}
+        () = time::sleep(LAST_REQUEST_TIMEOUT) => {}
     }
+    connection.as_mut().graceful_shutdown();
     let _ended = connection.await;
 }
 
@@ -152,16 +180,41 @@
 /// # Errors
 ///
 /// Returns a [`BodyError`] if the body is too large or is not received completely.
-pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    let limited = Limited::new(body, limit);
-    let collected = time::timeout(BODY_TIMEOUT, limited.collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge),
-        Ok(Err(_)) | Err(_) => Err(BodyError::Incomplete),
+pub async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    let mut bytes = BytesMut::new();
+    let reading = async {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_truncated| BodyError::Incomplete)?;
+            bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data.as_ref()));
+            if bytes.len() > limit {
+                return Err(BodyError::TooLarge);
+            }
+        }
+        Ok(())
+    };
+    let read = time::timeout(BODY_TIMEOUT, reading).await;
+    match read {
+        Ok(Ok(())) => Ok(bytes.freeze()),
+        Ok(Err(e)) => {
+            if e == BodyError::TooLarge {
+                discard_body(body);
+            }
+            Err(e)
+        }
+        Err(_) => Err(BodyError::Incomplete),
     }
 }
 
+/// Reads and discards the rest of a body in a background task.
+fn discard_body(body: Incoming) {
+    tokio::spawn(async move {
+        let mut rest = Limited::new(body, MAX_DISCARDED_BYTES);
+        let discarding = async { while let Some(Ok(_)) = rest.frame().await {} };
+        // After the timeout, the caller has had enough time to read the response.
+        let _read = time::timeout(DISCARD_TIMEOUT, discarding).await;
+    });
+}
+
 /// Creates a response with a complete body.
 pub fn full_response(status: u16, content_type: &str, body: impl Into<Bytes>) -> Response<Body> {
     let mut response = Response::new(Full::new(body.into()).boxed());
--- /dev/null
+++ b/crates/node/tests/http_server.rs
@@ -0,0 +1,81 @@
+//! Tests of the HTTP server with raw connections.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use sycamorestile_node::http_server::{Server, full_response, read_body};
+use tokio::runtime::Runtime;
+
+/// Largest body that the handler accepts, in bytes.
+const MAX_BODY_BYTES: usize = 1 << 10;
+
+/// Starts a server that answers 413 to larger bodies, and 200 to others.
+fn start(runtime: &Runtime) -> Server {
+    let handler = |req: http::Request<hyper::body::Incoming>| async move {
+        match read_body(req.into_body(), MAX_BODY_BYTES).await {
+            Ok(_) => full_response(200, "text/plain", "ok"),
+            Err(e) => full_response(413, "text/plain", e.to_string()),
+        }
+    };
+    let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+    runtime
+        .block_on(Server::start("test", addr, handler))
+        .expect("the server starts")
+}
+
+fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).expect("the server listens");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .expect("the read timeout is set");
+    stream
+}
+
+/// Returns what the server sends until it closes the connection.
+fn read_all(stream: &mut TcpStream) -> String {
+    let mut response = Vec::new();
+    // The connection may end in a reset after the response.
+    let _read = stream.read_to_end(&mut response);
+    String::from_utf8_lossy(&response).into_owned()
+}
+
+#[test]
+fn a_body_that_is_too_large_gets_a_readable_response() {
+    let runtime = Runtime::new().expect("a runtime is created");
+    let server = start(&runtime);
+    let mut stream = connect(server.addr());
+    let len = 64 << 20;
+    let head = format!("POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: {len}\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    let chunk = vec![b'x'; 1 << 20];
+    for _ in 0..len / chunk.len() {
+        stream.write_all(&chunk).expect("the server reads on");
+    }
+    let response = read_all(&mut stream);
+    assert!(response.starts_with("HTTP/1.1 413"), "{response:?}");
+}
+
+#[test]
+fn connections_that_were_accepted_before_a_stop_are_served() {
+    let runtime = Runtime::new().expect("a runtime is created");
+    let server = start(&runtime);
+    // The connections are established before the stop, and their requests arrive shortly after it.
+    let mut streams: Vec<TcpStream> = (0..20).map(|_| connect(server.addr())).collect();
+    runtime.block_on(async {
+        let draining = server.drain(Duration::from_secs(2));
+        let sending = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            for stream in &mut streams {
+                let sent = stream.write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+                sent.expect("the connection is open");
+            }
+        };
+        tokio::join!(draining, sending);
+    });
+    for (n, stream) in streams.iter_mut().enumerate() {
+        let response = read_all(stream);
+        assert!(response.starts_with("HTTP/1.1 200"), "connection {n}: {response:?}");
+    }
+    assert!(TcpStream::connect(server.addr()).is_err(), "the listener is closed");
+}
