Add sycamorestile summary: which streams were late, and why

The command counts how the requests in gateways' logs ended, which completed streams missed which objective, and the distribution of their longest pauses. Test: tests/all/summary.rs (late streams, other ends, lines that are no JSON, a missing file).

--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod plan;
 mod standalone;
 mod standin;
+mod summary;
 
 use std::process::ExitCode;
 
@@ -49,6 +50,9 @@
     /// Run a stand-in for the platform, a model engine or a plain service
     #[bpaf(command)]
     Standin(#[bpaf(external(standin::options))] standin::Options),
+    /// Count how the requests in the logs of gateways ended, and which streams were late
+    #[bpaf(command)]
+    Summary(#[bpaf(external(summary::options))] summary::Options),
 }
 
 /// A failed command, by the exit code that it causes.
@@ -83,6 +87,7 @@
         Command::Check(options) => check::run(&options),
         Command::Plan(options) => plan::run(&options),
         Command::Standin(options) => standin::run(&options),
+        Command::Summary(options) => summary::run(&options),
     };
     let (report, code) = match result {
         Ok(()) => return ExitCode::from(exit::SUCCESS),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,4 +8,5 @@
 mod operators;
 mod partitions;
 mod streams;
+mod summary;
 mod support;
