--- a/crates/core/src/direct/expert_model.rs
+++ b/crates/core/src/direct/expert_model.rs
@@ -1,7 +1,5 @@
 //! Expert layout of a model service's groups.
 
-use std::time::Duration;
-
 /// Number of experts of a group, and how they may be laid out on its ranks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ExpertModel {
@@ -13,6 +11,4 @@
     pub slots_per_rank: u32,
     /// Maximum number of experts of a layer set that one order may load onto a rank.
     pub max_new_per_rank: u32,
-    /// Time in which a rank copies one expert, if it is declared.
-    pub copy_time: Option<Duration>,
 }
--- a/crates/expert-map/src/group_planner.rs
+++ b/crates/expert-map/src/group_planner.rs
@@ -29,19 +29,10 @@
 const COPY_COST: f64 = 0.36;
 /// Smallest reduction of the mean skew that justifies a switch, because copying experts slows down the group.
 const MIN_SKEW_REDUCTION: f64 = 0.05;
-/// Time for which ranks may copy experts for one map, if one expert does not take longer. A rank copies one expert after
-/// the other, and the group is slower until the rank with the most copies has finished. Therefore a map only contains
-/// the copies that reduce the skew most, spread over the ranks, and the next map adds others.
-const MAX_COPY_TIME: Duration = Duration::from_millis(120);
-
-/// Returns how many experts each rank may copy for one map if copying one takes `copy_time`.
-pub fn max_copies(copy_time: Option<Duration>) -> usize {
-    let Some(copy_time) = copy_time.filter(|t| !t.is_zero()) else {
-        return 1;
-    };
-    let copies = MAX_COPY_TIME.as_secs_f64() / copy_time.as_secs_f64();
-    copies.max(1.0) as usize
-}
+/// Number of sets for which a rank copies one expert of a map. A rank copies one expert after the other, and the group
+/// is slower until the rank with the most copies has finished. Therefore a map only contains the copies that reduce the
+/// skew most, spread over the ranks, and the next map adds others.
+const SETS_PER_COPY: usize = 4;
 
 /// The dimensions of a group's maps.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,8 +45,6 @@
     pub experts: usize,
     /// Limits for the map of each set.
     pub limits: rebalance::RebalanceLimits,
-    /// Number of experts of all sets together that a rank may copy for one map.
-    pub max_copies_per_rank: usize,
 }
 
 /// The maps of all layer sets of a group.
@@ -207,7 +196,7 @@
         let loads: Vec<&[f64]> = (0..self.shape.sets).map(|set| self.set_loads(set)).collect();
         let limits = rebalance::GroupLimits {
             set: self.shape.limits,
-            max_new_per_rank: self.shape.max_copies_per_rank,
+            max_new_per_rank: self.shape.sets.div_ceil(SETS_PER_COPY),
         };
         let map = rebalance::rebalance_group(current, &loads, &self.slowness, limits, copy_cost);
         let skew_after = self.skew(&map);
--- a/crates/expert-map/tests/shifts.rs
+++ b/crates/expert-map/tests/shifts.rs
@@ -20,7 +20,6 @@
             max_per_rank: 5,
             max_new_per_rank: 2,
         },
-        max_copies_per_rank: 1,
     }
 }
 
@@ -187,12 +186,3 @@
     assert!(first.skew_before > 2.0, "the skew is {}", first.skew_before);
     assert!(second.skew_after < 2.0, "the skew is still {}", second.skew_after);
 }
-
-#[rstest]
-#[case::longer_than_the_limit(Some(111), 1)]
-#[case::several_fit(Some(16), 7)]
-#[case::not_declared(None, 1)]
-#[case::no_time(Some(0), 1)]
-fn copies_of_a_map_fit_into_the_time_for_copying(#[case] copy_ms: Option<u64>, #[case] expected: usize) {
-    assert_eq!(group_planner::max_copies(copy_ms.map(Duration::from_millis)), expected);
-}
--- a/crates/map-agent/src/coordinator.rs
+++ b/crates/map-agent/src/coordinator.rs
@@ -423,7 +423,6 @@
                 max_per_rank: sizes.slots_per_rank,
                 max_new_per_rank: sizes.max_new_per_rank,
             },
-            max_copies_per_rank: group_planner::max_copies(sizes.copy_time),
         };
         let planner = self
             .planner
--- a/crates/map-agent/src/rank_adapter.rs
+++ b/crates/map-agent/src/rank_adapter.rs
@@ -3,7 +3,6 @@
 //! A platform provides its paths and codecs as a [`RankAdapter`], a struct of constants and function pointers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use sycamorestile_expert_map::held_switch;
@@ -44,8 +43,6 @@
     pub slots_per_rank: usize,
     /// Highest number of experts of a set that one map may add to a rank.
     pub max_new_per_rank: usize,
-    /// Time in which a rank copies one expert, if it is declared.
-    pub copy_time: Option<Duration>,
 }
 
 /// Experts of one rank, indexed by set.
