--- a/crates/gateway/src/header_adapter.rs
+++ b/crates/gateway/src/header_adapter.rs
@@ -21,6 +21,9 @@
     pub key: Option<Arc<str>>,
     /// The identifier of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// The identifiers of the segments that the prompt shares with other requests. The segment that belongs to this
+    /// request alone is left out.
+    pub shared_segments: Vec<Arc<str>>,
 }
 
 /// The error for a caller's header with an invalid value.
