--- /dev/null
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -0,0 +1,418 @@
+//! Finds the segment of a prompt that crashes endpoints, so that requests with it are refused.
+//!
+//! Load condition addressed: one segment crashes every endpoint that begins to answer a request with it. Such requests
+//! arrive at any instance, mixed with sound requests that share all their other segments, and each crash stops a whole
+//! lock-step group for seconds.
+//!
+//! A crash is evidence against the shared segments of all requests that the endpoint had just begun. An answer that was
+//! written for a while, or to its end, proves that all its segments are sound. The segment that explains the most
+//! crashes is quarantined, and what it explains no longer counts against others. Instances exchange [`CrashFacts`], and
+//! reach the same verdict from the same facts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::time;
+
+/// Time for which an answer must have been written to prove that its segments are sound. An endpoint crashes within a
+/// few passes of the group.
+const SOUND_ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Number of crashes that quarantine a segment that no answer has proved sound.
+const MIN_CRASHES: usize = 2;
+/// The same for a segment that was proved sound before the crashes.
+const MIN_CRASHES_IF_PROVED: usize = 4;
+/// Period within which crashes count as simultaneous.
+const SIMULTANEOUS: Duration = Duration::from_millis(500);
+/// Age at which crashes and proofs are forgotten. A quarantine ends by this.
+const MEMORY: Duration = Duration::from_secs(600);
+/// Period within which reports of one endpoint concern the same crash. An instance that was suspended reports late.
+const SAME_CRASH: Duration = Duration::from_secs(10);
+/// Upper bound of the number of crashes kept.
+const MAX_CRASHES: usize = 32;
+/// Upper bound of the number of suspected segments kept for each crash.
+const MAX_SUSPECTS: usize = 16;
+/// Upper bound of the number of segments whose last proof is kept.
+const MAX_PROVED: usize = 4_096;
+
+/// A crash of an endpoint.
+#[derive(Debug, Clone)]
+struct Crash {
+    endpoint: Arc<str>,
+    /// The earliest time reported.
+    at: time::Time,
+    /// Segments of the requests that the endpoint had just begun, sorted; at most [`MAX_SUSPECTS`].
+    suspects: Vec<Arc<str>>,
+}
+
+/// A segment and when it was last proved sound.
+type Proof = (Arc<str>, time::Time);
+
+/// A quarantined segment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Quarantine {
+    /// The segment.
+    pub segment: Arc<str>,
+    /// Number of crashes that it explains.
+    pub crashes: usize,
+    /// When the quarantine ends if there are no further crashes.
+    pub until: time::Time,
+}
+
+/// What an instance tells others about crashes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashFacts {
+    /// The crashes that it knows of.
+    pub crashes: Vec<CrashFact>,
+    /// Suspected segments that it has itself seen proved sound. The proofs of others are not passed on, since their age
+    /// would shrink with each hop.
+    pub proofs: Vec<ProofFact>,
+}
+
+/// A crash, as told to other instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashFact {
+    /// The endpoint that crashed.
+    pub endpoint: Arc<str>,
+    /// Age of the crash in milliseconds.
+    pub age_ms: u64,
+    /// The segments that may have caused it.
+    pub suspects: Vec<Arc<str>>,
+}
+
+/// A proof that a segment is sound, as told to other instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProofFact {
+    /// The segment.
+    pub segment: Arc<str>,
+    /// Age of the proof in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The result of merging another instance's facts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Merged {
+    /// Whether the facts contained a crash or a suspect that was not known.
+    pub learned: bool,
+    /// Whether the other instance lacks a crash or a suspect that is known here.
+    pub sender_lacks: bool,
+}
+
+/// All evidence of crashes that an instance has, and the verdict that follows from it.
+#[derive(Debug, Clone, Default)]
+pub struct CrashEvidence {
+    /// Sorted by endpoint, then by time; at most [`MAX_CRASHES`].
+    crashes: Vec<Crash>,
+    /// Number of reports of this instance that were news to it.
+    own_reports: u64,
+    /// Proofs that this instance has seen, sorted by segment; at most [`MAX_PROVED`].
+    own_proofs: Vec<Proof>,
+    /// Proofs that others have seen, sorted by segment; only of suspected segments.
+    told_proofs: Vec<Proof>,
+    /// Sorted by segment.
+    quarantined: Vec<Quarantine>,
+    /// Number of crashes that each segment may explain and no quarantined one does, sorted by segment.
+    suspicions: Vec<(Arc<str>, usize)>,
+}
+
+/// Returns whether an answer proves that its segments are sound.
+pub fn is_proof(written_for: Duration, is_complete: bool) -> bool {
+    is_complete || written_for >= SOUND_ANSWER_TIME
+}
+
+impl CrashEvidence {
+    /// Records that an answer proved `segments` sound.
+    pub fn record_proof(&mut self, segments: &[Arc<str>], now: time::Time) {
+        let now = shifted(now);
+        for segment in segments {
+            if self.own_proofs.len() >= MAX_PROVED {
+                discard_older_half(&mut self.own_proofs);
+            }
+            record_latest(&mut self.own_proofs, segment, now);
+        }
+        if segments.iter().any(|s| is_suspected(&self.crashes, s)) {
+            self.judge(now);
+        }
+    }
+
+    /// Records that `endpoint` crashed when it had just begun a request with `segments`. Returns whether this is news.
+    pub fn record_crash(&mut self, endpoint: &Arc<str>, segments: &[Arc<str>], now: time::Time) -> bool {
+        let now = shifted(now);
+        let is_news = self.add_crash(endpoint, segments, now);
+        self.own_reports += u64::from(is_news);
+        self.judge(now);
+        is_news
+    }
+
+    /// Returns the quarantined segment among `segments`.
+    pub fn quarantined(&self, segments: &[Arc<str>]) -> Option<&Quarantine> {
+        let found = |s: &Arc<str>| self.quarantined.binary_search_by(|q| q.segment.cmp(s)).ok();
+        segments.iter().find_map(found).map(|at| &self.quarantined[at])
+    }
+
+    /// Returns how long the quarantine lasts.
+    pub fn remaining(quarantine: &Quarantine, now: time::Time) -> Duration {
+        quarantine.until.since(shifted(now))
+    }
+
+    /// Returns all quarantined segments, sorted.
+    pub fn quarantines(&self) -> &[Quarantine] {
+        &self.quarantined
+    }
+
+    /// Returns whether a request whose answer broke off may be sent to another endpoint, although one of its `segments`
+    /// may have crashed the former one.
+    pub fn allows_repeat(&self, segments: &[Arc<str>]) -> bool {
+        segments.iter().all(|segment| {
+            let at = self.suspicions.binary_search_by(|(s, _)| s.cmp(segment));
+            let crashes = at.map_or(0, |at| self.suspicions[at].1);
+            let is_quarantined = self.quarantined.binary_search_by(|q| q.segment.cmp(segment)).is_ok();
+            // One crash less than a quarantine takes.
+            !is_quarantined && crashes + 1 < self.min_crashes(segment)
+        })
+    }
+
+    /// Forgets what is too old and judges again. Call this regularly.
+    pub fn refresh(&mut self, now: time::Time) {
+        let now = shifted(now);
+        if self.crashes.is_empty() && self.own_proofs.is_empty() {
+            return;
+        }
+        self.crashes.retain(|c| now.since(c.at) < MEMORY);
+        self.own_proofs.retain(|(_, at)| now.since(*at) < MEMORY);
+        let crashes = &self.crashes;
+        self.told_proofs
+            .retain(|(segment, at)| now.since(*at) < MEMORY && is_suspected(crashes, segment));
+        self.judge(now);
+    }
+
+    /// Returns what to tell other instances.
+    pub fn facts(&self, now: time::Time) -> CrashFacts {
+        let now = shifted(now);
+        let age_ms = |at: time::Time| now.since(at).as_millis() as u64;
+        let crashes = self.crashes.iter().map(|c| CrashFact {
+            endpoint: Arc::clone(&c.endpoint),
+            age_ms: age_ms(c.at),
+            suspects: c.suspects.clone(),
+        });
+        let mut suspects: Vec<&Arc<str>> = self.crashes.iter().flat_map(|c| &c.suspects).collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        let proofs = suspects.into_iter().filter_map(|segment| {
+            let at = find(&self.own_proofs, segment)?;
+            Some(ProofFact {
+                segment: Arc::clone(segment),
+                age_ms: age_ms(at),
+            })
+        });
+        CrashFacts {
+            crashes: crashes.collect(),
+            proofs: proofs.collect(),
+        }
+    }
+
+    /// Returns how many reports of this instance itself were news to it.
+    pub fn own_reports(&self) -> u64 {
+        self.own_reports
+    }
+
+    /// Merges the facts that another instance told `elapsed` ago.
+    pub fn merge(&mut self, facts: &CrashFacts, elapsed: Duration, now: time::Time) -> Merged {
+        let now = shifted(now);
+        let time_of = |age_ms: u64| {
+            let age = Duration::from_millis(age_ms) + elapsed;
+            (age < MEMORY).then(|| time::Time::from_micros(now.as_micros() - age.as_micros() as u64))
+        };
+        let sender_lacks = self.crashes.iter().any(|c| !c.is_covered_by(facts, now, elapsed));
+        let mut learned = false;
+        for crash in &facts.crashes {
+            if let Some(at) = time_of(crash.age_ms) {
+                learned |= self.add_crash(&crash.endpoint, &crash.suspects, at);
+            }
+        }
+        for proof in facts.proofs.iter().filter(|p| is_suspected(&self.crashes, &p.segment)) {
+            if let Some(at) = time_of(proof.age_ms) {
+                record_latest(&mut self.told_proofs, &proof.segment, at);
+            }
+        }
+        self.judge(now);
+        Merged { learned, sender_lacks }
+    }
+
+    /// Adds a crash, or the suspects of a known one. Returns whether anything was added.
+    fn add_crash(&mut self, endpoint: &Arc<str>, segments: &[Arc<str>], at: time::Time) -> bool {
+        let known = self.crashes.iter().position(|c| c.is_same(endpoint, at));
+        let (index, is_new) = known.map_or_else(
+            || {
+                self.make_room();
+                let key = |c: &Crash| (Arc::clone(&c.endpoint), c.at);
+                let index = self.crashes.partition_point(|c| key(c) < (Arc::clone(endpoint), at));
+                let crash = Crash {
+                    endpoint: Arc::clone(endpoint),
+                    at,
+                    suspects: Vec::new(),
+                };
+                self.crashes.insert(index, crash);
+                (index, true)
+            },
+            |index| (index, false),
+        );
+        let crash = &mut self.crashes[index];
+        crash.at = crash.at.min(at);
+        let mut is_news = is_new;
+        for segment in segments {
+            if let Err(at) = crash.suspects.binary_search(segment)
+                && crash.suspects.len() < MAX_SUSPECTS
+            {
+                crash.suspects.insert(at, Arc::clone(segment));
+                is_news = true;
+            }
+        }
+        is_news
+    }
+
+    /// Drops the oldest crash if there is no room for another, preferably one that supports no quarantine.
+    fn make_room(&mut self) {
+        if self.crashes.len() < MAX_CRASHES {
+            return;
+        }
+        let is_support = |c: &Crash| self.quarantined.iter().any(|q| c.suspects.contains(&q.segment));
+        let oldest = (0..self.crashes.len()).min_by_key(|&i| (is_support(&self.crashes[i]), self.crashes[i].at));
+        if let Some(index) = oldest {
+            self.crashes.remove(index);
+        }
+    }
+
+    /// Determines the quarantined segments.
+    fn judge(&mut self, now: time::Time) {
+        let mut unexplained: Vec<&Crash> = self.crashes.iter().filter(|c| now.since(c.at) < MEMORY).collect();
+        let mut quarantined = Vec::new();
+        loop {
+            let tallies = self.tallies(&unexplained);
+            let is_guilty = |t: &&Tally| t.crashes.len() >= self.min_crashes(&t.segment) && t.stands_out(&unexplained);
+            // A segment that was never proved sound goes before one that was.
+            let rank = |t: &Tally| (self.last_proof(&t.segment).is_none(), t.crashes.len());
+            let Some(worst) = tallies.iter().filter(is_guilty).map(rank).max() else {
+                self.suspicions = tallies.into_iter().map(|t| (t.segment, t.crashes.len())).collect();
+                break;
+            };
+            let guilty: Vec<&Tally> = tallies.iter().filter(is_guilty).filter(|t| rank(t) == worst).collect();
+            unexplained.retain(|c| !guilty.iter().any(|t| c.suspects.contains(&t.segment)));
+            quarantined.extend(guilty.into_iter().map(|t| Quarantine {
+                segment: Arc::clone(&t.segment),
+                crashes: t.crashes.len(),
+                until: t.expiry(self.min_crashes(&t.segment)),
+            }));
+        }
+        quarantined.sort_by(|a, b| a.segment.cmp(&b.segment));
+        self.quarantined = quarantined;
+    }
+
+    /// Counts the crashes that each segment may have caused, sorted by segment.
+    fn tallies(&self, crashes: &[&Crash]) -> Vec<Tally> {
+        let mut tallies: Vec<Tally> = Vec::new();
+        for crash in crashes {
+            for segment in &crash.suspects {
+                if self.last_proof(segment).is_some_and(|at| at >= crash.at) {
+                    continue;
+                }
+                match tallies.binary_search_by(|t| t.segment.cmp(segment)) {
+                    Ok(at) => tallies[at].crashes.push(crash.at),
+                    Err(at) => tallies.insert(
+                        at,
+                        Tally {
+                            segment: Arc::clone(segment),
+                            crashes: vec![crash.at],
+                        },
+                    ),
+                }
+            }
+        }
+        tallies
+    }
+
+    fn min_crashes(&self, segment: &Arc<str>) -> usize {
+        if self.last_proof(segment).is_some() {
+            MIN_CRASHES_IF_PROVED
+        } else {
+            MIN_CRASHES
+        }
+    }
+
+    fn last_proof(&self, segment: &Arc<str>) -> Option<time::Time> {
+        find(&self.own_proofs, segment).max(find(&self.told_proofs, segment))
+    }
+}
+
+impl Crash {
+    fn is_same(&self, endpoint: &Arc<str>, at: time::Time) -> bool {
+        self.endpoint == *endpoint && at.since(self.at).max(self.at.since(at)) < SAME_CRASH
+    }
+
+    /// Returns whether `facts`, told `elapsed` ago, contain this crash with all its suspects.
+    fn is_covered_by(&self, facts: &CrashFacts, now: time::Time, elapsed: Duration) -> bool {
+        facts.crashes.iter().any(|fact| {
+            let age = Duration::from_millis(fact.age_ms) + elapsed;
+            let difference = age.abs_diff(now.since(self.at));
+            fact.endpoint == self.endpoint
+                && difference < SAME_CRASH
+                && self.suspects.iter().all(|s| fact.suspects.contains(s))
+        })
+    }
+}
+
+/// The crashes that a segment may have caused.
+struct Tally {
+    segment: Arc<str>,
+    /// Times of the crashes.
+    crashes: Vec<time::Time>,
+}
+
+impl Tally {
+    /// Returns whether the segment may have caused at least half of the crashes at the time of its own. Otherwise they
+    /// probably have another cause, such as the loss of a failure domain.
+    fn stands_out(&self, crashes: &[&Crash]) -> bool {
+        let is_near = |c: &&&Crash| {
+            let distance = |at: &time::Time| at.since(c.at).max(c.at.since(*at));
+            self.crashes.iter().any(|at| distance(at) <= SIMULTANEOUS)
+        };
+        2 * self.crashes.len() >= crashes.iter().filter(is_near).count()
+    }
+
+    /// Returns when fewer than `min_crashes` of the crashes are remembered.
+    fn expiry(&self, min_crashes: usize) -> time::Time {
+        let mut newest_first = self.crashes.clone();
+        newest_first.sort_unstable_by(|a, b| b.cmp(a));
+        newest_first[min_crashes - 1] + MEMORY
+    }
+}
+
+/// Returns `now` on a clock that was at [`MEMORY`] at the origin, so that events from before the origin have a time.
+fn shifted(now: time::Time) -> time::Time {
+    now + MEMORY
+}
+
+fn is_suspected(crashes: &[Crash], segment: &Arc<str>) -> bool {
+    crashes.iter().any(|c| c.suspects.binary_search(segment).is_ok())
+}
+
+fn find(proofs: &[Proof], segment: &Arc<str>) -> Option<time::Time> {
+    let at = proofs.binary_search_by(|(s, _)| s.cmp(segment)).ok()?;
+    Some(proofs[at].1)
+}
+
+fn record_latest(proofs: &mut Vec<Proof>, segment: &Arc<str>, at: time::Time) {
+    match proofs.binary_search_by(|(s, _)| s.cmp(segment)) {
+        Ok(index) => proofs[index].1 = proofs[index].1.max(at),
+        Err(index) => proofs.insert(index, (Arc::clone(segment), at)),
+    }
+}
+
+fn discard_older_half(proofs: &mut Vec<Proof>) {
+    let mut times: Vec<time::Time> = proofs.iter().map(|(_, at)| *at).collect();
+    let middle = times.len() / 2;
+    let (_, median, _) = times.select_nth_unstable(middle);
+    let median = *median;
+    proofs.retain(|(_, at)| *at > median);
+}
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -15,6 +15,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod confirmation;
+pub mod crash_evidence;
 pub mod credentials;
 pub mod declarations;
 pub mod drain;
--- a/crates/core/src/problem.rs
+++ b/crates/core/src/problem.rs
@@ -59,6 +59,8 @@
     EarlierAnswerLost,
     /// The endpoint's response ended early.
     AnswerCut,
+    /// Requests with a segment of the prompt have crashed endpoints.
+    SegmentQuarantined,
 }
 
 impl ProblemKind {
@@ -74,6 +76,7 @@
             Self::LimitExceeded => 429,
             Self::Overloaded
             | Self::NoEndpoint
+            | Self::SegmentQuarantined
             | Self::Leaving
             | Self::ClaimsUnavailable
             | Self::KeysUnconfirmed
@@ -101,6 +104,7 @@
             Self::LimitExceeded
                 | Self::Overloaded
                 | Self::NoEndpoint
+                | Self::SegmentQuarantined
                 | Self::Leaving
                 | Self::ClaimsUnavailable
                 | Self::KeysUnconfirmed
@@ -129,6 +133,7 @@
             Self::DeadlineBeforeStart => "deadline-before-start",
             Self::DeadlineAfterStart => "deadline-after-start",
             Self::NoEndpoint => "no-endpoint",
+            Self::SegmentQuarantined => "segment-quarantined",
             Self::Leaving => "leaving",
             Self::ClaimsUnavailable => "claims-unavailable",
             Self::NotReady => "not-ready",
@@ -158,6 +163,7 @@
             Self::DeadlineBeforeStart => "The deadline passed before the call began",
             Self::DeadlineAfterStart => "The deadline passed after the call may have begun",
             Self::NoEndpoint => "No endpoint is in reach",
+            Self::SegmentQuarantined => "Requests with a segment of this prompt have crashed endpoints",
             Self::Leaving => "The instance is leaving",
             Self::ClaimsUnavailable => "The claim for the idempotency key can't be recorded now",
             Self::NotReady => "The instance has no configuration yet",
--- /dev/null
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -0,0 +1,196 @@
+//! Quarantine of prompt segments that crash endpoints.
+
+mod crash_days;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+use sycamorestile_core::direct::crash_evidence::{CrashEvidence, CrashFacts, is_proof};
+use sycamorestile_core::time::Time;
+
+/// Returns a time shortly after the clock's origin, as on a machine that has just been booted.
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn segments(names: &[&str]) -> Vec<Arc<str>> {
+    names.iter().map(|name| Arc::from(*name)).collect()
+}
+
+fn crash(evidence: &mut CrashEvidence, endpoint: &str, names: &[&str], ms: u64) -> bool {
+    evidence.record_crash(&Arc::from(endpoint), &segments(names), at(ms))
+}
+
+fn is_quarantined(evidence: &CrashEvidence, name: &str) -> bool {
+    evidence.quarantined(&segments(&[name])).is_some()
+}
+
+fn names(evidence: &CrashEvidence) -> Vec<&str> {
+    evidence.quarantines().iter().map(|q| q.segment.as_ref()).collect()
+}
+
+#[test]
+fn segment_common_to_two_crashes_is_quarantined_alone() {
+    let mut evidence = CrashEvidence::default();
+    crash(&mut evidence, "m-1", &["a", "bad", "c"], 0);
+    assert!(names(&evidence).is_empty());
+    crash(&mut evidence, "m-2", &["b", "bad", "d"], 4_000);
+    assert_eq!(names(&evidence), ["bad"]);
+    crash(&mut evidence, "m-3", &["a", "bad"], 8_000);
+    assert_eq!(
+        names(&evidence),
+        ["bad"],
+        "the first segment is explained by the second"
+    );
+}
+
+#[test]
+fn reports_of_one_crash_count_once() {
+    let mut evidence = CrashEvidence::default();
+    assert!(crash(&mut evidence, "m-1", &["a"], 0));
+    assert!(!crash(&mut evidence, "m-1", &["a"], 5), "no news");
+    assert!(crash(&mut evidence, "m-1", &["b"], 3_000), "another suspect");
+    assert!(names(&evidence).is_empty());
+}
+
+#[test]
+fn proof_after_a_crash_clears_a_segment() {
+    let mut evidence = CrashEvidence::default();
+    crash(&mut evidence, "m-1", &["a", "b"], 0);
+    evidence.record_proof(&segments(&["a"]), at(100));
+    crash(&mut evidence, "m-2", &["a", "b"], 1_000);
+    assert_eq!(names(&evidence), ["b"]);
+    evidence.record_proof(&segments(&["b"]), at(2_000));
+    assert!(names(&evidence).is_empty());
+}
+
+#[test]
+fn segment_that_was_sound_before_needs_more_crashes() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_proof(&segments(&["a"]), at(0));
+    for n in 0..3 {
+        crash(&mut evidence, &format!("m-{n}"), &["a"], 10_000 + n * 4_000);
+        assert!(names(&evidence).is_empty());
+    }
+    crash(&mut evidence, "m-4", &["a"], 26_000);
+    assert_eq!(names(&evidence), ["a"]);
+}
+
+#[test]
+fn loss_of_many_endpoints_at_once_locks_no_segment_out() {
+    let mut evidence = CrashEvidence::default();
+    let lists = [["a", "b"], ["c", "a"], ["d", "e"], ["f", "g"], ["h", "i"]];
+    for (n, list) in lists.iter().enumerate() {
+        crash(&mut evidence, &format!("m-{n}"), list, 1_000 + n as u64);
+    }
+    assert!(names(&evidence).is_empty(), "only two of five had it");
+}
+
+#[test]
+fn request_whose_endpoint_crashed_is_not_repeated() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_proof(&segments(&["known"]), at(0));
+    assert!(evidence.allows_repeat(&segments(&["known", "new"])));
+    crash(&mut evidence, "m-1", &["known", "new"], 1_000);
+    assert!(!evidence.allows_repeat(&segments(&["known", "new"])));
+    assert!(
+        evidence.allows_repeat(&segments(&["known"])),
+        "only this one was proved"
+    );
+    evidence.record_proof(&segments(&["new"]), at(2_000));
+    assert!(evidence.allows_repeat(&segments(&["known", "new"])));
+}
+
+#[test]
+fn quarantine_ends_when_its_crashes_are_forgotten() {
+    let mut evidence = CrashEvidence::default();
+    crash(&mut evidence, "m-1", &["bad"], 0);
+    crash(&mut evidence, "m-2", &["bad"], 5_000);
+    let quarantine = evidence.quarantined(&segments(&["bad"])).expect("a quarantine").clone();
+    let remaining = CrashEvidence::remaining(&quarantine, at(5_000));
+    assert_eq!(remaining, Duration::from_secs(595));
+    evidence.refresh(at(4_999) + remaining);
+    assert!(is_quarantined(&evidence, "bad"));
+    evidence.refresh(at(5_000) + remaining);
+    assert!(!is_quarantined(&evidence, "bad"));
+}
+
+#[rstest]
+#[case::complete(0, true, true)]
+#[case::written_for_a_while(1_500, false, true)]
+#[case::just_begun(300, false, false)]
+fn answers_prove_segments_sound(#[case] written_ms: u64, #[case] is_complete: bool, #[case] expected: bool) {
+    assert_eq!(is_proof(Duration::from_millis(written_ms), is_complete), expected);
+}
+
+#[test]
+fn facts_of_another_instance_lead_to_the_same_verdict() {
+    let mut teller = CrashEvidence::default();
+    crash(&mut teller, "m-1", &["a", "bad"], 700_000);
+    crash(&mut teller, "m-2", &["bad", "c"], 704_000);
+    let facts = teller.facts(at(705_000));
+    // This machine was booted after the crashes.
+    let mut learner = CrashEvidence::default();
+    let merged = learner.merge(&facts, Duration::from_secs(2), at(1_000));
+    assert!(merged.learned && !merged.sender_lacks);
+    assert_eq!(names(&learner), ["bad"]);
+    let again = learner.merge(&facts, Duration::from_secs(2), at(1_100));
+    assert!(!again.learned && !again.sender_lacks);
+    let reply = teller.merge(&CrashFacts::default(), Duration::ZERO, at(705_000));
+    assert!(reply.sender_lacks && !reply.learned);
+    let remaining = CrashEvidence::remaining(&learner.quarantines()[0], at(1_000));
+    assert_eq!(remaining, Duration::from_secs(600 - 7));
+}
+
+#[test]
+fn proofs_of_another_instance_count() {
+    let mut evidence = CrashEvidence::default();
+    let mut prover = CrashEvidence::default();
+    prover.record_proof(&segments(&["a", "unrelated"]), at(500));
+    crash(&mut evidence, "m-1", &["a"], 1_000);
+    crash(&mut evidence, "m-2", &["a"], 5_000);
+    assert!(is_quarantined(&evidence, "a"));
+    prover.merge(&evidence.facts(at(5_000)), Duration::ZERO, at(5_000));
+    let facts = prover.facts(at(5_000));
+    assert_eq!(facts.proofs.len(), 1, "only suspects are told");
+    evidence.merge(&facts, Duration::ZERO, at(5_000));
+    assert!(!is_quarantined(&evidence, "a"), "it was sound before the crashes");
+}
+
+#[test]
+fn memory_is_bounded_and_keeps_what_supports_a_quarantine() {
+    let mut evidence = CrashEvidence::default();
+    crash(&mut evidence, "x-1", &["bad"], 0);
+    crash(&mut evidence, "x-2", &["bad"], 1_000);
+    for n in 0..10_000_u64 {
+        let names: Vec<String> = (0..40).map(|s| format!("s-{n}-{s}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        crash(&mut evidence, &format!("m-{n}"), &names, 2_000 + n * 50);
+        evidence.record_proof(&segments(&names), at(2_000 + n * 50));
+    }
+    assert!(is_quarantined(&evidence, "bad"));
+    let facts = evidence.facts(at(503_000));
+    let bytes = serde_json::to_vec(&facts).expect("facts are encoded").len();
+    assert!(facts.crashes.len() <= 32 && facts.crashes.iter().all(|c| c.suspects.len() <= 16));
+    assert!(bytes < 32 << 10, "{bytes} bytes");
+}
+
+#[rstest]
+fn crashing_segment_is_stopped_and_sound_requests_are_served(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
+) {
+    let outcome = crash_days::play(seed, crash_days::Exchange::Datagrams);
+    assert!(outcome.crashes >= 2, "seed {seed}: {outcome:?}");
+    assert!(outcome.late_crashing_requests <= 3, "seed {seed}: {outcome:?}");
+    assert!(
+        2 * outcome.sound_refused <= outcome.sound_sent,
+        "seed {seed}: {outcome:?}"
+    );
+}
+
+#[test]
+fn the_days_show_instances_that_learn_nothing_from_others() {
+    let is_broken = |seed| crash_days::play(seed, crash_days::Exchange::None).late_crashing_requests > 3;
+    assert!((1..=20).any(is_broken));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use tokio::time;
 
 use crate::context;
+use crate::crash_watch;
 use crate::handle;
 use crate::header_adapter;
 use crate::pool;
@@ -137,6 +138,9 @@
     if !grant.route.targets.iter().any(|t| t.service == endpoint.service) {
         return Ok(failed(req_cx.attempts.not_sent(), "route moved to another service"));
     }
+    if crash_watch::quarantine_problem(cx, &req_cx.call).is_some() {
+        return Err(problem::ProblemKind::SegmentQuarantined);
+    }
     if req_cx.attempts.sent_count() == 0 {
         cx.retry_shares
             .with(&endpoint.service, |share| share.record_request(now));
@@ -177,11 +181,20 @@
                 .borrow_mut()
                 .record_failure(&slot.endpoint.id, boot_clock::now());
             // hyper returns the message only if none of it was written.
-            return Ok(if e.take_message().is_some() {
-                failed(req_cx.attempts.not_sent(), "connection closed before the request")
+            if e.take_message().is_some() {
+                return Ok(failed(
+                    req_cx.attempts.not_sent(),
+                    "connection closed before the request",
+                ));
+            }
+            let next = req_cx.attempts.lost();
+            crash_watch::examine_broken_response(cx, req_cx, &slot.endpoint, Duration::ZERO).await;
+            let why = if req_cx.endpoint_crashed {
+                "endpoint crashed"
             } else {
-                failed(req_cx.attempts.lost(), "connection broke before the answer")
-            });
+                "connection broke before the answer"
+            };
+            return Ok(failed(next, why));
         }
         None => {
             let now = boot_clock::now();
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,10 +8,10 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
-use sycamorestile_core::direct::{drain, outage, pacing, placement, retry_share};
+use sycamorestile_core::direct::{crash_evidence, drain, outage, pacing, placement, retry_share};
 use sycamorestile_core::time;
 use sycamorestile_table::boot_clock;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::header_adapter;
 use crate::metrics;
@@ -32,6 +32,10 @@
     pub(crate) retry_shares: service_map::ServiceMap<retry_share::RetryShare>,
     pub(crate) outages: service_map::ServiceMap<outage::OutageDetector>,
     pub(crate) pacings: service_map::ServiceMap<pacing::Pacing>,
+    /// Crashes of endpoints, and the segments of prompts that are quarantined for them.
+    pub(crate) crash_evidence: RefCell<crash_evidence::CrashEvidence>,
+    /// Notified when this instance or a peer reports a new crash.
+    pub(crate) crash_news: Notify,
     pub(crate) pool: pool::Pool,
     pub(crate) rng: RefCell<ChaCha8Rng>,
     pub(crate) metrics: metrics::Metrics,
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -4,6 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
 use slog::{Logger, info, warn};
 use sycamorestile_core::direct::{confirmation, endpoint, endpoint_set};
 use sycamorestile_core::time;
@@ -12,6 +13,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time as timer;
 
+use crate::crash_exchange;
 use crate::error;
 use crate::settings;
 use crate::snapshot;
@@ -37,9 +39,14 @@
     max_wait: Duration::from_secs(25),
     batch_delay: Duration::from_millis(400),
 };
-/// The timeout of the call that writes this gateway's own row.
+/// The timing of the feed of crash reports.
+const CRASH_REPORTS_TIMING: feed::PollTiming = feed::PollTiming {
+    max_wait: Duration::from_secs(25),
+    batch_delay: Duration::from_millis(200),
+};
+/// The timeout of a call that writes one of this gateway's own rows.
 const PUBLISH_TIMEOUT: Duration = Duration::from_secs(3);
-/// The delay between attempts to write this gateway's own row.
+/// The delay between attempts to write one of them.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// The interval at which a gateway reads the declarations while it relies on the reads that another gateway reports.
@@ -62,6 +69,8 @@
     pub(crate) snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
     /// The reads that peers reported, for the control thread.
     pub(crate) peer_reads: mpsc::Sender<PeerRead>,
+    /// The crash reports in the table.
+    pub(crate) crash_rows: crash_exchange::TableChannels,
 }
 
 /// Starts the control thread, which runs until the process exits.
@@ -77,7 +86,19 @@
     };
     let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
     let (peer_reads_tx, peer_reads) = mpsc::channel(QUEUE_CAPACITY);
-    let run = move || runtime.block_on(control(settings, adapter, tx, peer_reads, log));
+    let (crash_rows_tx, crash_rows) = mpsc::channel(QUEUE_CAPACITY);
+    let (own_crash_row, own_crash_row_rx) = watch::channel(Vec::new());
+    let run = move || {
+        runtime.block_on(async move {
+            tokio::spawn(publish_crash_row(
+                settings.clone(),
+                adapter,
+                own_crash_row_rx,
+                log.clone(),
+            ));
+            control(settings, adapter, tx, peer_reads, crash_rows_tx, log).await;
+        });
+    };
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(run)
@@ -85,6 +106,10 @@
     Ok(Control {
         snapshots: rx,
         peer_reads: peer_reads_tx,
+        crash_rows: crash_exchange::TableChannels {
+            rows: crash_rows,
+            own_row: own_crash_row,
+        },
     })
 }
 
@@ -94,6 +119,7 @@
     adapter: adapter::TableAdapter,
     tx: watch::Sender<Arc<snapshot::Snapshot>>,
     mut peer_reads: mpsc::Receiver<PeerRead>,
+    crash_rows: mpsc::Sender<Bytes>,
     log: Logger,
 ) {
     let (events_tx, mut events) = mpsc::channel(QUEUE_CAPACITY);
@@ -107,6 +133,7 @@
         (adapter::Topic::Endpoints, ENDPOINTS_TIMING),
         (adapter::Topic::Gateways, GATEWAYS_TIMING),
         (adapter::Topic::MapAgents, RANKS_TIMING),
+        (adapter::Topic::CrashReports, CRASH_REPORTS_TIMING),
     ];
     let mut feed_controls = Vec::new();
     for (topic, timing) in topics {
@@ -139,6 +166,10 @@
         };
         tokio::select! {
             event = events.recv() => match event {
+                Some((adapter::Topic::CrashReports, event)) => {
+                    forward_crash_rows(event, &crash_rows).await;
+                    continue;
+                }
                 Some((topic, event)) => state.apply_feed_event(topic, event),
                 None => return,
             },
@@ -156,6 +187,38 @@
     }
 }
 
+/// Hands the values of crash reports to the traffic thread.
+async fn forward_crash_rows(event: feed::FeedEvent, crash_rows: &mpsc::Sender<Bytes>) {
+    let (feed::FeedEvent::Snapshot { rows, .. } | feed::FeedEvent::Changes { rows, .. }) = event else {
+        return;
+    };
+    for value in rows.into_iter().filter_map(|row| row.value) {
+        // The receiver is only dropped when the process exits.
+        let _sent = crash_rows.send(value).await;
+    }
+}
+
+/// Writes this gateway's crash reports to the table whenever they change. Retries until a write succeeds.
+async fn publish_crash_row(
+    settings: settings::Settings,
+    adapter: adapter::TableAdapter,
+    mut value: watch::Receiver<Vec<u8>>,
+    log: Logger,
+) {
+    let mut client = client::Client::new(settings.table);
+    while value.changed().await.is_ok() {
+        loop {
+            let newest = value.borrow_and_update().clone();
+            let body = (adapter.write_body)(adapter::Topic::CrashReports, &settings.instance, &newest, None);
+            match client.post(adapter.write_path, body, PUBLISH_TIMEOUT).await {
+                Ok(_) => break,
+                Err(e) => warn!(log, "failed to write crash reports; retrying"; "error" => %e),
+            }
+            timer::sleep(PUBLISH_RETRY_DELAY).await;
+        }
+    }
+}
+
 /// Writes this gateway's address to the table, so that other gateways find it. Retries until the write succeeds.
 async fn publish_address(settings: settings::Settings, adapter: adapter::TableAdapter, log: Logger) {
     let mut client = client::Client::new(settings.table);
@@ -248,7 +311,8 @@
             }
             (adapter::Topic::MapAgents, feed::FeedEvent::Changes { rows, .. }) => self.update_slow_ranks(&rows),
             // The loss of the connection has no effect by itself, and a gateway does not follow the other topics.
-            (_, feed::FeedEvent::Unavailable | feed::FeedEvent::Recovered) | (adapter::Topic::Leases, _) => {}
+            (_, feed::FeedEvent::Unavailable | feed::FeedEvent::Recovered)
+            | (adapter::Topic::CrashReports | adapter::Topic::Leases, _) => {}
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,11 +13,11 @@
 //!
 //! ```text
 //! caller ─HTTP─► server ─► handle ─► proxy ─► attempt ─► pool ─HTTP─► endpoint
-//!                            │         │
-//!                            │         └─► stream_forwarder
-//!                            ▼
-//!                        snapshot              peers ◄─UDP─► other gateways
-//!                            ▲
+//!                            │         │          │
+//!                            │         └─► stream_forwarder ─► crash_watch
+//!                            ▼                                     │
+//!                        snapshot        peers, crash_exchange ◄───┘ ◄─UDP─► other gateways
+//!                            ▲                 ▲
 //!                         control
 //!                            ▲
 //!                          feed ─HTTP─► the platform's table
@@ -30,6 +30,8 @@
 mod attempt;
 mod context;
 mod control;
+mod crash_exchange;
+mod crash_watch;
 mod error;
 mod handle;
 pub mod header_adapter;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -40,6 +41,8 @@
     outcomes: Family<OutcomeLabels, Counter>,
     repeated_sends: Counter,
     connects: Counter,
+    crashes: Counter,
+    quarantined: Gauge,
     /// The organisations with their own label, sorted.
     organisations: RefCell<Vec<Arc<str>>>,
 }
@@ -54,7 +57,8 @@
         let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         let whole = Family::new_with_constructor(histogram as fn() -> Histogram);
         let outcomes = Family::<OutcomeLabels, Counter>::default();
-        let (repeated_sends, connects) = (Counter::default(), Counter::default());
+        let (repeated_sends, connects, crashes) = (Counter::default(), Counter::default(), Counter::default());
+        let quarantined = Gauge::default();
         registry.register(
             "first_byte_seconds",
             "Time to the first byte of a response",
@@ -68,6 +72,16 @@
             repeated_sends.clone(),
         );
         registry.register("connects", "Connections opened to endpoints", connects.clone());
+        registry.register(
+            "endpoint_crashes",
+            "Reports of endpoints that crashed at the beginning of a response",
+            crashes.clone(),
+        );
+        registry.register(
+            "quarantined_segments",
+            "Prompt segments that are quarantined because endpoints crash on them",
+            quarantined.clone(),
+        );
         Self {
             registry,
             first_byte,
@@ -75,6 +89,8 @@
             outcomes,
             repeated_sends,
             connects,
+            crashes,
+            quarantined,
             organisations: RefCell::default(),
         }
     }
@@ -110,6 +126,16 @@
         self.connects.inc();
     }
 
+    /// Counts a crash of an endpoint that this gateway reports.
+    pub(crate) fn record_crash(&self) {
+        self.crashes.inc();
+    }
+
+    /// Sets the number of quarantined segments.
+    pub(crate) fn set_quarantined(&self, count: usize) {
+        self.quarantined.set(count as i64);
+    }
+
     /// Returns all metrics in the text exposition format.
     pub(crate) fn text(&self) -> String {
         let mut buf = String::new();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,13 +3,14 @@
 //! Each datagram carries the complete state of its sender, so a lost one is replaced by the next. The counts of a peer
 //! that can't be reached expire. Datagrams are not acknowledged.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use slog::{debug, warn};
-use sycamorestile_core::direct::confirmation;
+use sycamorestile_core::direct::{confirmation, crash_evidence};
 use sycamorestile_table::boot_clock;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -17,6 +18,7 @@
 
 use crate::context;
 use crate::control;
+use crate::crash_exchange;
 
 /// The shortest time between two rounds of datagrams.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(100);
@@ -27,7 +29,7 @@
 /// The time for which a read of the declarations is sent. It covers at least two rounds, since datagrams can get lost.
 const READ_REPEAT_TIME: Duration = Duration::from_secs(1);
 /// The largest datagram that is received, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
 /// The content of a datagram.
 #[derive(Debug, Serialize, Deserialize)]
@@ -41,15 +43,17 @@
     in_flight: Vec<(Arc<str>, u32)>,
     /// The sender's own last read of the declarations, in some rounds after the read.
     own_read: Option<confirmation::Confirmation>,
+    /// What the sender knows of crashes, in datagrams of [`crash_exchange`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    crash_facts: Option<crash_evidence::CrashFacts>,
 }
 
 /// Sends and receives datagrams until the process exits, and removes the state of endpoints that no longer exist.
 pub(crate) async fn run(
     cx: Rc<context::GatewayContext>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     peer_reads: mpsc::Sender<control::PeerRead>,
 ) {
-    let socket = Rc::new(socket);
     tokio::task::spawn_local(receive(Rc::clone(&cx), Rc::clone(&socket), peer_reads));
     let mut interval = MIN_SEND_INTERVAL;
     let mut last_in_flight: Vec<(Arc<str>, u32)> = Vec::new();
@@ -80,35 +84,63 @@
     }
 }
 
-/// Sends a datagram to every peer and returns the time to wait until the next round.
-async fn send_to_peers(
+/// Sends `facts` to the peer at `addr` and returns the number of bytes sent.
+pub(crate) async fn send_facts(
     cx: &context::GatewayContext,
     socket: &UdpSocket,
-    in_flight: &[(Arc<str>, u32)],
+    addr: SocketAddr,
+    facts: crash_evidence::CrashFacts,
+) -> usize {
+    let in_flight = cx.placement.borrow().own_in_flight();
+    match encode(cx, in_flight, None, Some(facts)) {
+        Some(datagram) => send_datagram(cx, socket, &datagram, addr).await,
+        None => 0,
+    }
+}
+
+fn encode(
+    cx: &context::GatewayContext,
+    in_flight: Vec<(Arc<str>, u32)>,
     own_read: Option<confirmation::Confirmation>,
-) -> Duration {
+    crash_facts: Option<crash_evidence::CrashFacts>,
+) -> Option<Vec<u8>> {
     let message = PeerMessage {
         instance: Arc::clone(&cx.settings.instance),
         failure_domain: Arc::clone(&cx.settings.failure_domain),
-        in_flight: in_flight.to_vec(),
+        in_flight,
         own_read,
+        crash_facts,
     };
-    let datagram = match serde_json::to_vec(&message) {
-        Ok(datagram) => datagram,
-        Err(e) => {
-            warn!(cx.log, "failed to encode the datagram for peers"; "error" => %e);
-            return MAX_SEND_INTERVAL;
-        }
+    let encoded = serde_json::to_vec(&message);
+    encoded
+        .inspect_err(|e| warn!(cx.log, "failed to encode the datagram for peers"; "error" => %e))
+        .ok()
+}
+
+/// Sends a datagram and returns its length.
+async fn send_datagram(cx: &context::GatewayContext, socket: &UdpSocket, datagram: &[u8], addr: SocketAddr) -> usize {
+    // A peer that can't be reached gets the state with a later datagram.
+    if let Err(e) = socket.send_to(datagram, addr).await {
+        debug!(cx.log, "failed to send a datagram to a peer"; "peer" => %addr, "error" => %e);
+    }
+    datagram.len()
+}
+
+/// Sends a datagram to every peer and returns the time to wait until the next round.
+async fn send_to_peers(
+    cx: &context::GatewayContext,
+    socket: &UdpSocket,
+    in_flight: &[(Arc<str>, u32)],
+    own_read: Option<confirmation::Confirmation>,
+) -> Duration {
+    let Some(datagram) = encode(cx, in_flight.to_vec(), own_read, None) else {
+        return MAX_SEND_INTERVAL;
     };
     let snapshot = cx.snapshot();
     let peers = snapshot.gateways.iter().filter(|g| g.instance != cx.settings.instance);
     let mut sent = 0_usize;
     for peer in peers {
-        // A peer that can't be reached gets the state with the next round.
-        if let Err(e) = socket.send_to(&datagram, peer.addr).await {
-            debug!(cx.log, "failed to send a datagram to a peer"; "peer" => peer.instance.as_ref(), "error" => %e);
-        }
-        sent += datagram.len();
+        sent += send_datagram(cx, socket, &datagram, peer.addr).await;
     }
     Duration::from_secs_f64(sent as f64 / BYTES_PER_SECOND).clamp(MIN_SEND_INTERVAL, MAX_SEND_INTERVAL)
 }
@@ -117,8 +149,8 @@
 async fn receive(cx: Rc<context::GatewayContext>, socket: Rc<UdpSocket>, peer_reads: mpsc::Sender<control::PeerRead>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let len = match socket.recv_from(&mut buf).await {
-            Ok((len, _)) => len,
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
             Err(e) => {
                 debug!(cx.log, "failed to receive a datagram"; "error" => %e);
                 time::sleep(MIN_SEND_INTERVAL).await;
@@ -137,6 +169,9 @@
                 cx.placement
                     .borrow_mut()
                     .record_peer_counts(&message.instance, message.in_flight, now);
+                if let Some(facts) = message.crash_facts {
+                    crash_exchange::receive(&cx, &socket, &facts, from).await;
+                }
             }
             Err(e) => warn!(cx.log, "failed to decode a peer's datagram"; "error" => %e),
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -117,6 +117,13 @@
         Ok(self.new_lease(endpoint, Connection { sender, driver }, true))
     }
 
+    /// Returns whether `endpoint` refuses a new connection, since its process has ended. An endpoint that can't be
+    /// reached doesn't count.
+    pub(crate) async fn refuses_connections(endpoint: &endpoint::Endpoint) -> bool {
+        let connecting = timer::timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.addr)).await;
+        matches!(connecting, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+
     /// Closes the idle connections that have expired, and those to endpoints for which `known` returns `false`.
     pub(crate) fn evict_idle<F>(&self, known: F)
     where
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -15,6 +15,7 @@
 
 use crate::attempt;
 use crate::context;
+use crate::crash_watch;
 use crate::handle;
 use crate::refuse;
 use crate::request;
@@ -34,6 +35,7 @@
         attempts: attempts::RequestAttempts::new(route.kind, route.max_attempts),
         tried: Vec::new(),
         last_failure: "none",
+        endpoint_crashed: false,
         detail: String::new(),
         first_byte_after: None,
         longest_pause: Duration::ZERO,
@@ -41,7 +43,7 @@
         cx: Rc::clone(cx),
         call,
     };
-    if let Some(problem) = admit(cx, &req_cx.call) {
+    if let Some(problem) = crash_watch::quarantine_problem(cx, &req_cx.call).or_else(|| admit(cx, &req_cx.call)) {
         req_cx.detail.clone_from(&problem.detail);
         return request::finish(cx, &req_cx, refuse::response(cx, &problem), problem.kind.slug());
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -47,6 +47,8 @@
     pub(crate) tried: Vec<Arc<str>>,
     /// Why the last attempt failed.
     pub(crate) last_failure: &'static str,
+    /// Whether an endpoint crashed when it had just begun the request.
+    pub(crate) endpoint_crashed: bool,
     /// The reason for a refusal before the first attempt.
     pub(crate) detail: String,
     /// The time from the start of the request to the head of a streamed response.
@@ -111,6 +113,16 @@
         attempts::NextAttempt::Send { .. } if is_stream && cx.outages.with(service, |o| o.is_unavailable(now)) => {
             Some(problem_kind(req_cx.attempts.failure_outcome()))
         }
+        // The request itself may have crashed the endpoint, and would crash the next one too.
+        attempts::NextAttempt::Send { .. }
+            if req_cx.endpoint_crashed
+                && !cx
+                    .crash_evidence
+                    .borrow()
+                    .allows_repeat(&req_cx.call.head.shared_segments) =>
+        {
+            Some(problem_kind(req_cx.attempts.failure_outcome()))
+        }
         attempts::NextAttempt::Send { repeat: false } => None,
         attempts::NextAttempt::Send { repeat: true } => {
             let instances = instance_count(cx, now);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,12 +11,13 @@
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::{JoinHandle, LocalSet};
 use tokio::time;
 
 use crate::context;
 use crate::control;
+use crate::crash_exchange;
 use crate::error;
 use crate::handle;
 use crate::header_adapter;
@@ -80,6 +81,8 @@
         retry_shares: service_map::ServiceMap::new(move || retry_share::RetryShare::new(retry_limit)),
         outages: service_map::ServiceMap::new(outage::OutageDetector::default),
         pacings: service_map::ServiceMap::new(pacing::Pacing::default),
+        crash_evidence: RefCell::default(),
+        crash_news: Notify::new(),
         pool: pool::Pool::default(),
         rng: RefCell::new(rand::make_rng::<ChaCha8Rng>()),
         metrics: metrics::Metrics::new(),
@@ -94,8 +97,9 @@
         addr: peers_addr,
         source,
     };
-    let socket = UdpSocket::bind(peers_addr).await.map_err(bind)?;
-    tokio::task::spawn_local(peers::run(Rc::clone(&cx), socket, control.peer_reads));
+    let socket = Rc::new(UdpSocket::bind(peers_addr).await.map_err(bind)?);
+    tokio::task::spawn_local(peers::run(Rc::clone(&cx), Rc::clone(&socket), control.peer_reads));
+    tokio::task::spawn_local(crash_exchange::run(Rc::clone(&cx), socket, control.crash_rows));
     let (close_tx, close_rx) = oneshot::channel::<()>();
     let closing = async move {
         // A dropped sender means that the process is exiting, which is treated the same.
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use sycamorestile_core::direct::{attempts, endpoint, event_buffer, placement};
+use sycamorestile_core::direct::{attempts, crash_evidence, endpoint, event_buffer, placement};
 use sycamorestile_core::time::Time;
 use sycamorestile_table::boot_clock;
 use tokio::sync::mpsc;
@@ -16,6 +16,7 @@
 
 use crate::attempt;
 use crate::context;
+use crate::crash_watch;
 use crate::header_adapter;
 use crate::pool;
 use crate::request;
@@ -46,9 +47,9 @@
         lease,
         slot,
     } = open;
+    let headers = parts.headers.clone();
     // The length can change if the stream is resumed at another endpoint.
     parts.headers.remove(header::CONTENT_LENGTH);
-    let headers = parts.headers.clone();
     let response = attempt::caller_response(parts, response_body::ResponseBody::stream(rx));
     let forwarder = StreamForwarder {
         cx: Rc::clone(cx),
@@ -62,6 +63,8 @@
         head,
         lease,
         slot,
+        written: None,
+        is_proved: false,
     }));
     response
 }
@@ -73,13 +76,37 @@
     head: header_adapter::ResponseHead,
     lease: pool::Lease,
     slot: request::EndpointSlot,
+    /// When the first and the last event arrived.
+    written: Option<(Time, Time)>,
+    /// Whether this part has proved the segments of the prompt sound.
+    is_proved: bool,
+}
+
+impl EndpointStream {
+    fn record_event(&mut self, now: Time) {
+        let (first, _) = self.written.unwrap_or((now, now));
+        self.written = Some((first, now));
+    }
+
+    /// Returns the time from the first to the last event.
+    fn written_for(&self) -> Duration {
+        self.written.map_or(Duration::ZERO, |(first, last)| last.since(first))
+    }
+
+    /// Returns whether the end of the body shows that the response is complete, as opposed to one that ends with its
+    /// connection.
+    fn is_framed(&self) -> bool {
+        self.headers.contains_key(header::CONTENT_LENGTH) || self.headers.contains_key(header::TRANSFER_ENCODING)
+    }
 }
 
 /// The reason why an endpoint's part of a stream ended.
 enum StreamEnd {
     /// The endpoint completed the stream.
     Complete,
-    /// The connection broke or stalled, or the data is invalid.
+    /// The endpoint closed the connection too early.
+    Broken(&'static str),
+    /// The connection stalled, the data is invalid, or the stream should move to another endpoint.
     Failed(&'static str),
     /// The caller disconnected.
     CallerDisconnected,
@@ -100,10 +127,13 @@
     async fn run(mut self, first: EndpointStream) {
         let mut stream = first;
         let reason = loop {
-            let end = self.forward(&mut stream.body, &stream.slot.endpoint).await;
+            let end = self.forward(&mut stream).await;
             let id = Arc::clone(&stream.slot.endpoint.id);
             match end {
                 StreamEnd::Complete => {
+                    if !stream.is_proved && crash_evidence::is_proof(Duration::ZERO, stream.is_framed()) {
+                        crash_watch::record_proof(&self.cx, &self.req_cx.call);
+                    }
                     attempt::release_connection(stream.lease, &stream.headers, &stream.head);
                     break "answered";
                 }
@@ -112,8 +142,13 @@
                     self.abort().await;
                     break "time is up";
                 }
-                StreamEnd::Failed(why) => {
+                StreamEnd::Broken(why) | StreamEnd::Failed(why) => {
+                    let endpoint = Arc::clone(&stream.slot.endpoint);
+                    let written_for = stream.written_for();
                     drop(stream);
+                    if matches!(end, StreamEnd::Broken(_)) {
+                        crash_watch::examine_broken_response(&self.cx, &mut self.req_cx, &endpoint, written_for).await;
+                    }
                     self.cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
                     let next = self.req_cx.attempts.lost();
                     self.req_cx.attempt_failed(&self.cx, why, next);
@@ -141,12 +176,13 @@
     }
 
     /// Forwards complete events from `body` until it ends.
-    async fn forward(&mut self, body: &mut Incoming, endpoint: &endpoint::Endpoint) -> StreamEnd {
+    async fn forward(&mut self, stream: &mut EndpointStream) -> StreamEnd {
+        let endpoint = Arc::clone(&stream.slot.endpoint);
         let service = &endpoint.service;
         let mut last_event_at = boot_clock::now();
         let mut is_under_way = false;
         loop {
-            if self.is_on_slow_rank(endpoint) {
+            if self.is_on_slow_rank(&endpoint) {
                 return StreamEnd::Failed("rank became slow");
             }
             let remaining = self.req_cx.call.deadline.since(boot_clock::now());
@@ -154,16 +190,16 @@
                 return StreamEnd::DeadlineExceeded;
             }
             let next = tokio::select! {
-                next = time::timeout(STALL_CHECK_INTERVAL.min(remaining), body.frame()) => next,
+                next = time::timeout(STALL_CHECK_INTERVAL.min(remaining), stream.body.frame()) => next,
                 () = self.tx.closed() => return StreamEnd::CallerDisconnected,
             };
             let frame = match next {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return StreamEnd::Failed("stream broke"),
-                Ok(None) if self.buffer.has_partial() => return StreamEnd::Failed("stream ended within an event"),
+                Ok(Some(Err(_))) => return StreamEnd::Broken("stream broke"),
+                Ok(None) if self.buffer.has_partial() => return StreamEnd::Broken("stream ended within an event"),
                 Ok(None) => return StreamEnd::Complete,
                 Err(_) => {
-                    if self.is_stalled(endpoint, last_event_at) {
+                    if self.is_stalled(&endpoint, last_event_at) {
                         self.cx.pool.close_idle(&endpoint.id);
                         return StreamEnd::Failed("stream went silent");
                     }
@@ -176,7 +212,7 @@
             };
             if events.is_empty() {
                 // Bytes without a complete event are no progress: a stalled endpoint may still send some.
-                if self.is_stalled(endpoint, last_event_at) {
+                if self.is_stalled(&endpoint, last_event_at) {
                     return StreamEnd::Failed("stream sends no events");
                 }
                 continue;
@@ -189,6 +225,11 @@
                 self.req_cx.longest_pause = self.req_cx.longest_pause.max(pause);
             }
             is_under_way = true;
+            stream.record_event(now);
+            if !stream.is_proved && crash_evidence::is_proof(stream.written_for(), false) {
+                stream.is_proved = true;
+                crash_watch::record_proof(&self.cx, &self.req_cx.call);
+            }
             self.cx
                 .outages
                 .with(service, |o| o.record_progress(&endpoint.id, last_event_at));
@@ -247,6 +288,8 @@
                         head,
                         lease,
                         slot,
+                        written: None,
+                        is_proved: false,
                     });
                 }
                 attempt::AttemptResult::Response(_) => return None,
