--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -27,6 +27,7 @@
 pub mod outage;
 pub mod pacing;
 pub mod placement;
+pub mod rate_limits;
 pub mod response_class;
 pub mod response_time;
 pub mod retry_share;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use slog::info;
 use sycamorestile_core::direct::{access, attempts, endpoint, response_class, route};
 use sycamorestile_core::problem;
 use sycamorestile_table::boot_clock;
@@ -288,6 +289,9 @@
     };
     let now = boot_clock::now();
     let id = Arc::clone(&slot.endpoint.id);
+    if cx.rate_limits.borrow_mut().record(&id, head.rate_limit) {
+        info!(cx.log, "endpoint changed its rate limit"; "endpoint" => id.as_ref(), "per_second" => head.rate_limit);
+    }
     match response_class::classify(facts) {
         response_class::ResponseClass::Untrusted => {
             cx.placement.borrow_mut().record_failure(&id, now);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
-use sycamorestile_core::direct::{crash_evidence, drain, outage, pacing, placement, retry_share};
+use sycamorestile_core::direct::{crash_evidence, drain, outage, pacing, placement, rate_limits, retry_share};
 use sycamorestile_core::time;
 use sycamorestile_table::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -28,6 +28,7 @@
     pub(crate) header_adapter: header_adapter::HeaderAdapter,
     pub(crate) snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
     pub(crate) placement: RefCell<placement::Placement>,
+    pub(crate) rate_limits: RefCell<rate_limits::RateLimits>,
     /// This instance's share of each service's retry budget.
     pub(crate) retry_shares: service_map::ServiceMap<retry_share::RetryShare>,
     pub(crate) outages: service_map::ServiceMap<outage::OutageDetector>,
--- a/crates/gateway/src/header_adapter.rs
+++ b/crates/gateway/src/header_adapter.rs
@@ -50,7 +50,7 @@
 }
 
 /// The fields of an endpoint's response head that the gateway uses.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseHead {
     /// The identifier of the attempt that the response belongs to.
     pub attempt: Option<Arc<str>>,
@@ -58,6 +58,8 @@
     pub not_run: bool,
     /// The endpoint's load.
     pub load: Option<placement::ReportedLoad>,
+    /// The number of requests per second that the endpoint takes from all instances together, if it is limited.
+    pub rate_limit: Option<f64>,
     /// Whether the response carries the signature header of an endpoint.
     pub is_authentic: bool,
     /// The address or identifier of the endpoint whose failure caused this one to refuse or fail.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -78,6 +78,7 @@
         header_adapter,
         snapshots: control.snapshots,
         placement: RefCell::new(placement::Placement::default()),
+        rate_limits: RefCell::default(),
         retry_shares: service_map::ServiceMap::new(move || retry_share::RetryShare::new(retry_limit)),
         outages: service_map::ServiceMap::new(outage::OutageDetector::default),
         pacings: service_map::ServiceMap::new(pacing::Pacing::default),
