Exchange facts about endpoints, of which crashes are one kind

No change of behaviour: the exchange of crash reports between gateways becomes one of facts about endpoints, with a struct of its own, so that the rate limits that endpoints name can be told in the same way.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -14,6 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::direct::merged;
 use crate::time;
 
 /// Time for which an answer must have been written to prove that its segments are sound. An endpoint crashes within a
@@ -90,15 +91,6 @@
     pub age_ms: u64,
 }
 
-/// The result of merging another instance's facts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Merged {
-    /// Whether the facts contained a crash or a suspect that was not known.
-    pub learned: bool,
-    /// Whether the other instance lacks a crash or a suspect that is known here.
-    pub sender_lacks: bool,
-}
-
 /// All evidence of crashes that an instance has, and the verdict that follows from it.
 #[derive(Debug, Clone, Default)]
 pub struct CrashEvidence {
@@ -218,7 +210,7 @@
     }
 
     /// Merges the facts that another instance told `elapsed` ago.
-    pub fn merge(&mut self, facts: &CrashFacts, elapsed: Duration, now: time::Time) -> Merged {
+    pub fn merge(&mut self, facts: &CrashFacts, elapsed: Duration, now: time::Time) -> merged::Merged {
         let now = shifted(now);
         let time_of = |age_ms: u64| {
             let age = Duration::from_millis(age_ms) + elapsed;
@@ -237,7 +229,7 @@
             }
         }
         self.judge(now);
-        Merged { learned, sender_lacks }
+        merged::Merged { learned, sender_lacks }
     }
 
     /// Adds a crash, or the suspects of a known one. Returns whether anything was added.
--- /dev/null
+++ b/crates/core/src/direct/merged.rs
@@ -0,0 +1,10 @@
+//! The result of merging facts that another instance told.
+
+/// What a merge showed about the knowledge of both instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Merged {
+    /// Whether the facts contained something that was not known.
+    pub learned: bool,
+    /// Whether the other instance lacks something that is known here.
+    pub sender_lacks: bool,
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -36,7 +36,7 @@
     /// Crashes of endpoints, and the segments of prompts that are quarantined for them.
     pub(crate) crash_evidence: RefCell<crash_evidence::CrashEvidence>,
     /// Notified when this instance or a peer reports a new crash.
-    pub(crate) crash_news: Notify,
+    pub(crate) fact_news: Notify,
     pub(crate) pool: pool::Pool,
     pub(crate) rng: RefCell<ChaCha8Rng>,
     pub(crate) metrics: metrics::Metrics,
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -13,8 +13,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time as timer;
 
-use crate::crash_exchange;
 use crate::error;
+use crate::fact_exchange;
 use crate::settings;
 use crate::snapshot;
 
@@ -39,8 +39,8 @@
     max_wait: Duration::from_secs(25),
     batch_delay: Duration::from_millis(400),
 };
-/// The timing of the feed of crash reports.
-const CRASH_REPORTS_TIMING: feed::PollTiming = feed::PollTiming {
+/// The timing of the feed of facts about endpoints.
+const FACTS_TIMING: feed::PollTiming = feed::PollTiming {
     max_wait: Duration::from_secs(25),
     batch_delay: Duration::from_millis(200),
 };
@@ -69,8 +69,8 @@
     pub(crate) snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
     /// The reads that peers reported, for the control thread.
     pub(crate) peer_reads: mpsc::Sender<PeerRead>,
-    /// The crash reports in the table.
-    pub(crate) crash_rows: crash_exchange::TableChannels,
+    /// The rows of facts about endpoints.
+    pub(crate) fact_rows: fact_exchange::TableChannels,
 }
 
 /// Starts the control thread, which runs until the process exits.
@@ -86,17 +86,17 @@
     };
     let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
     let (peer_reads_tx, peer_reads) = mpsc::channel(QUEUE_CAPACITY);
-    let (crash_rows_tx, crash_rows) = mpsc::channel(QUEUE_CAPACITY);
-    let (own_crash_row, own_crash_row_rx) = watch::channel(Vec::new());
+    let (fact_rows_tx, fact_rows) = mpsc::channel(QUEUE_CAPACITY);
+    let (own_fact_row, own_fact_row_rx) = watch::channel(Vec::new());
     let run = move || {
         runtime.block_on(async move {
-            tokio::spawn(publish_crash_row(
+            tokio::spawn(publish_fact_row(
                 settings.clone(),
                 adapter,
-                own_crash_row_rx,
+                own_fact_row_rx,
                 log.clone(),
             ));
-            control(settings, adapter, tx, peer_reads, crash_rows_tx, log).await;
+            control(settings, adapter, tx, peer_reads, fact_rows_tx, log).await;
         });
     };
     thread::Builder::new()
@@ -106,9 +106,9 @@
     Ok(Control {
         snapshots: rx,
         peer_reads: peer_reads_tx,
-        crash_rows: crash_exchange::TableChannels {
-            rows: crash_rows,
-            own_row: own_crash_row,
+        fact_rows: fact_exchange::TableChannels {
+            rows: fact_rows,
+            own_row: own_fact_row,
         },
     })
 }
@@ -119,7 +119,7 @@
     adapter: adapter::TableAdapter,
     tx: watch::Sender<Arc<snapshot::Snapshot>>,
     mut peer_reads: mpsc::Receiver<PeerRead>,
-    crash_rows: mpsc::Sender<Bytes>,
+    fact_rows: mpsc::Sender<Bytes>,
     log: Logger,
 ) {
     let (events_tx, mut events) = mpsc::channel(QUEUE_CAPACITY);
@@ -133,7 +133,7 @@
         (adapter::Topic::Endpoints, ENDPOINTS_TIMING),
         (adapter::Topic::Gateways, GATEWAYS_TIMING),
         (adapter::Topic::MapAgents, RANKS_TIMING),
-        (adapter::Topic::CrashReports, CRASH_REPORTS_TIMING),
+        (adapter::Topic::Facts, FACTS_TIMING),
     ];
     let mut feed_controls = Vec::new();
     for (topic, timing) in topics {
@@ -166,8 +166,8 @@
         };
         tokio::select! {
             event = events.recv() => match event {
-                Some((adapter::Topic::CrashReports, event)) => {
-                    forward_crash_rows(event, &crash_rows).await;
+                Some((adapter::Topic::Facts, event)) => {
+                    forward_fact_rows(event, &fact_rows).await;
                     continue;
                 }
                 Some((topic, event)) => state.apply_feed_event(topic, event),
@@ -187,19 +187,19 @@
     }
 }
 
-/// Hands the values of crash reports to the traffic thread.
-async fn forward_crash_rows(event: feed::FeedEvent, crash_rows: &mpsc::Sender<Bytes>) {
+/// Hands the rows of facts about endpoints to the traffic thread.
+async fn forward_fact_rows(event: feed::FeedEvent, fact_rows: &mpsc::Sender<Bytes>) {
     let (feed::FeedEvent::Snapshot { rows, .. } | feed::FeedEvent::Changes { rows, .. }) = event else {
         return;
     };
     for value in rows.into_iter().filter_map(|row| row.value) {
         // The receiver is only dropped when the process exits.
-        let _sent = crash_rows.send(value).await;
+        let _sent = fact_rows.send(value).await;
     }
 }
 
-/// Writes this gateway's crash reports to the table whenever they change. Retries until a write succeeds.
-async fn publish_crash_row(
+/// Writes this gateway's facts about endpoints to the table whenever they change. Retries until a write succeeds.
+async fn publish_fact_row(
     settings: settings::Settings,
     adapter: adapter::TableAdapter,
     mut value: watch::Receiver<Vec<u8>>,
@@ -209,10 +209,10 @@
     while value.changed().await.is_ok() {
         loop {
             let newest = value.borrow_and_update().clone();
-            let body = (adapter.write_body)(adapter::Topic::CrashReports, &settings.instance, &newest, None);
+            let body = (adapter.write_body)(adapter::Topic::Facts, &settings.instance, &newest, None);
             match client.post(adapter.write_path, body, PUBLISH_TIMEOUT).await {
                 Ok(_) => break,
-                Err(e) => warn!(log, "failed to write crash reports; retrying"; "error" => %e),
+                Err(e) => warn!(log, "failed to write facts about endpoints; retrying"; "error" => %e),
             }
             timer::sleep(PUBLISH_RETRY_DELAY).await;
         }
@@ -312,7 +312,7 @@
             (adapter::Topic::MapAgents, feed::FeedEvent::Changes { rows, .. }) => self.update_slow_ranks(&rows),
             // The loss of the connection has no effect by itself, and a gateway does not follow the other topics.
             (_, feed::FeedEvent::Unavailable | feed::FeedEvent::Recovered)
-            | (adapter::Topic::CrashReports | adapter::Topic::Leases, _) => {}
+            | (adapter::Topic::Facts | adapter::Topic::Leases, _) => {}
         }
     }
 
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -37,7 +37,7 @@
         "written_ms" => written_for.as_millis() as u64, "news" => is_news);
     if is_news {
         cx.metrics.record_crash();
-        cx.crash_news.notify_one();
+        cx.fact_news.notify_one();
     }
     req_cx.endpoint_crashed = true;
 }
--- a/crates/gateway/src/crash_exchange.rs
+++ b/crates/gateway/src/fact_exchange.rs
@@ -1,9 +1,9 @@
-//! Exchange of crash reports between gateways.
+//! Exchange of facts about endpoints between gateways.
 //!
-//! A gateway that learns of a crash sends all that it knows to a few random peers, several times, and so does each of
+//! A gateway that learns something new sends all that it knows to a few random peers, several times, and so does each of
 //! them, so that news reaches all gateways in a few rounds at any number of them. Afterwards, each gateway sends to one
 //! random peer at a longer interval, and a gateway that gets less than it knows itself replies with that. This is how a
-//! gateway learns what it missed while it was suspended or cut off. A gateway that saw a crash itself also writes a row
+//! gateway learns what it missed while it was suspended or cut off. A gateway that observed something itself also writes a row
 //! of the table, for those that can't be reached and for the case that all gateways restart.
 
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use slog::{debug, warn};
-use sycamorestile_core::direct::crash_evidence;
+use sycamorestile_core::direct::{crash_evidence, merged};
 use sycamorestile_table::boot_clock;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -38,12 +38,38 @@
 /// The delay of a round beyond which the process is assumed to have been suspended.
 const SUSPENSION: Duration = Duration::from_secs(1);
 
+/// What gateways tell each other about endpoints.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct EndpointFacts {
+    crashes: crash_evidence::CrashFacts,
+}
+
 /// The row that a gateway keeps in the table.
 #[derive(Debug, Serialize, Deserialize)]
-struct CrashRow {
+struct FactRow {
     /// When the row was written, in milliseconds since the Unix epoch.
     written_at_ms: u64,
-    facts: crash_evidence::CrashFacts,
+    facts: EndpointFacts,
+}
+
+impl EndpointFacts {
+    /// Returns all that this gateway knows.
+    fn collect(cx: &context::GatewayContext) -> Self {
+        let now = boot_clock::now();
+        Self {
+            crashes: cx.crash_evidence.borrow().facts(now),
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.crashes.crashes.is_empty()
+    }
+
+    /// Merges these facts, which were told `elapsed` ago, into what this gateway knows.
+    fn merge_into(&self, cx: &context::GatewayContext, elapsed: Duration) -> merged::Merged {
+        let now = boot_clock::now();
+        crash_watch::update(cx, |evidence| evidence.merge(&self.crashes, elapsed, now))
+    }
 }
 
 /// The channels between the exchange and the control thread.
@@ -54,7 +80,7 @@
     pub(crate) own_row: watch::Sender<Vec<u8>>,
 }
 
-/// Sends and merges reports until the process exits.
+/// Sends and merges facts until the process exits.
 pub(crate) async fn run(cx: Rc<context::GatewayContext>, socket: Rc<UdpSocket>, channels: TableChannels) {
     let TableChannels { mut rows, own_row } = channels;
     // A gateway that has just started asks its peers for what they know.
@@ -81,7 +107,7 @@
                 next_round = now + if is_news_round { NEWS_INTERVAL } else { IDLE_INTERVAL };
                 false
             }
-            () = cx.crash_news.notified() => true,
+            () = cx.fact_news.notified() => true,
             Some(value) = rows.recv() => merge_row(&cx, &value),
         };
         if has_news {
@@ -97,27 +123,20 @@
 }
 
 /// Merges the facts of a peer's datagram, and replies if the peer lacks any that are known here.
-pub(crate) async fn receive(
-    cx: &context::GatewayContext,
-    socket: &UdpSocket,
-    facts: &crash_evidence::CrashFacts,
-    from: SocketAddr,
-) {
-    let now = boot_clock::now();
-    let merged = crash_watch::update(cx, |evidence| evidence.merge(facts, Duration::ZERO, now));
+pub(crate) async fn receive(cx: &context::GatewayContext, socket: &UdpSocket, facts: &EndpointFacts, from: SocketAddr) {
+    let merged = facts.merge_into(cx, Duration::ZERO);
     if merged.learned {
-        cx.crash_news.notify_one();
+        cx.fact_news.notify_one();
     }
     if merged.sender_lacks {
-        let known = cx.crash_evidence.borrow().facts(now);
-        peers::send_facts(cx, socket, from, known).await;
+        peers::send_facts(cx, socket, from, EndpointFacts::collect(cx)).await;
     }
 }
 
 /// Sends all facts to random peers, and returns the number of bytes sent.
 async fn send_round(cx: &context::GatewayContext, socket: &UdpSocket, is_news_round: bool) -> usize {
-    let facts = cx.crash_evidence.borrow().facts(boot_clock::now());
-    if facts.crashes.is_empty() && !is_news_round {
+    let facts = EndpointFacts::collect(cx);
+    if facts.is_empty() && !is_news_round {
         return 0;
     }
     let snapshot = cx.snapshot();
@@ -138,30 +157,29 @@
 
 /// Hands this gateway's row to the control thread.
 fn write_row(cx: &context::GatewayContext, own_row: &watch::Sender<Vec<u8>>) {
-    let row = CrashRow {
+    let row = FactRow {
         written_at_ms: unix_ms(),
-        facts: cx.crash_evidence.borrow().facts(boot_clock::now()),
+        facts: EndpointFacts::collect(cx),
     };
     match serde_json::to_vec(&row) {
         Ok(value) => {
             own_row.send_replace(value);
         }
-        Err(e) => warn!(cx.log, "failed to encode crash reports for the table"; "error" => %e),
+        Err(e) => warn!(cx.log, "failed to encode facts about endpoints for the table"; "error" => %e),
     }
 }
 
 /// Merges a row of the table, and returns whether it contained news.
 fn merge_row(cx: &context::GatewayContext, value: &[u8]) -> bool {
-    match serde_json::from_slice::<CrashRow>(value) {
+    match serde_json::from_slice::<FactRow>(value) {
         Ok(row) => {
             let elapsed = Duration::from_millis(unix_ms().saturating_sub(row.written_at_ms));
-            let now = boot_clock::now();
-            let merged = crash_watch::update(cx, |evidence| evidence.merge(&row.facts, elapsed, now));
-            debug!(cx.log, "read crash reports from the table"; "crashes" => row.facts.crashes.len(), "news" => merged.learned);
+            let merged = row.facts.merge_into(cx, elapsed);
+            debug!(cx.log, "read facts about endpoints from the table"; "crashes" => row.facts.crashes.crashes.len(), "news" => merged.learned);
             merged.learned
         }
         Err(e) => {
-            warn!(cx.log, "failed to decode crash reports from the table"; "error" => %e);
+            warn!(cx.log, "failed to decode facts about endpoints from the table"; "error" => %e);
             false
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,7 @@
 //!                            │         │          │
 //!                            │         └─► stream_forwarder ─► crash_watch
 //!                            ▼                                     │
-//!                        snapshot        peers, crash_exchange ◄───┘ ◄─UDP─► other gateways
+//!                        snapshot        peers, fact_exchange ◄───┘ ◄─UDP─► other gateways
 //!                            ▲                 ▲
 //!                         control
 //!                            ▲
@@ -30,9 +30,9 @@
 mod attempt;
 mod context;
 mod control;
-mod crash_exchange;
 mod crash_watch;
 mod error;
+mod fact_exchange;
 mod handle;
 pub mod header_adapter;
 mod idle_watch;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 use slog::{debug, warn};
-use sycamorestile_core::direct::{confirmation, crash_evidence};
+use sycamorestile_core::direct::confirmation;
 use sycamorestile_table::boot_clock;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -18,7 +18,7 @@
 
 use crate::context;
 use crate::control;
-use crate::crash_exchange;
+use crate::fact_exchange;
 
 /// The shortest time between two rounds of datagrams.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(100);
@@ -43,9 +43,9 @@
     in_flight: Vec<(Arc<str>, u32)>,
     /// The sender's own last read of the declarations, in some rounds after the read.
     own_read: Option<confirmation::Confirmation>,
-    /// What the sender knows of crashes, in datagrams of [`crash_exchange`].
+    /// What the sender knows about endpoints, in datagrams of [`fact_exchange`].
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    crash_facts: Option<crash_evidence::CrashFacts>,
+    facts: Option<fact_exchange::EndpointFacts>,
 }
 
 /// Sends and receives datagrams until the process exits, and removes the state of endpoints that no longer exist.
@@ -89,7 +89,7 @@
     cx: &context::GatewayContext,
     socket: &UdpSocket,
     addr: SocketAddr,
-    facts: crash_evidence::CrashFacts,
+    facts: fact_exchange::EndpointFacts,
 ) -> usize {
     let in_flight = cx.placement.borrow().own_in_flight();
     match encode(cx, in_flight, None, Some(facts)) {
@@ -102,14 +102,14 @@
     cx: &context::GatewayContext,
     in_flight: Vec<(Arc<str>, u32)>,
     own_read: Option<confirmation::Confirmation>,
-    crash_facts: Option<crash_evidence::CrashFacts>,
+    facts: Option<fact_exchange::EndpointFacts>,
 ) -> Option<Vec<u8>> {
     let message = PeerMessage {
         instance: Arc::clone(&cx.settings.instance),
         failure_domain: Arc::clone(&cx.settings.failure_domain),
         in_flight,
         own_read,
-        crash_facts,
+        facts,
     };
     let encoded = serde_json::to_vec(&message);
     encoded
@@ -169,8 +169,8 @@
                 cx.placement
                     .borrow_mut()
                     .record_peer_counts(&message.instance, message.in_flight, now);
-                if let Some(facts) = message.crash_facts {
-                    crash_exchange::receive(&cx, &socket, &facts, from).await;
+                if let Some(facts) = message.facts {
+                    fact_exchange::receive(&cx, &socket, &facts, from).await;
                 }
             }
             Err(e) => warn!(cx.log, "failed to decode a peer's datagram"; "error" => %e),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,8 +17,8 @@
 
 use crate::context;
 use crate::control;
-use crate::crash_exchange;
 use crate::error;
+use crate::fact_exchange;
 use crate::handle;
 use crate::header_adapter;
 use crate::metrics;
@@ -83,7 +83,7 @@
         outages: service_map::ServiceMap::new(outage::OutageDetector::default),
         pacings: service_map::ServiceMap::new(pacing::Pacing::default),
         crash_evidence: RefCell::default(),
-        crash_news: Notify::new(),
+        fact_news: Notify::new(),
         pool: pool::Pool::default(),
         rng: RefCell::new(rand::make_rng::<ChaCha8Rng>()),
         metrics: metrics::Metrics::new(),
@@ -100,7 +100,7 @@
     };
     let socket = Rc::new(UdpSocket::bind(peers_addr).await.map_err(bind)?);
     tokio::task::spawn_local(peers::run(Rc::clone(&cx), Rc::clone(&socket), control.peer_reads));
-    tokio::task::spawn_local(crash_exchange::run(Rc::clone(&cx), socket, control.crash_rows));
+    tokio::task::spawn_local(fact_exchange::run(Rc::clone(&cx), socket, control.fact_rows));
     let (close_tx, close_rx) = oneshot::channel::<()>();
     let closing = async move {
         // A dropped sender means that the process is exiting, which is treated the same.
--- a/crates/table/src/adapter.rs
+++ b/crates/table/src/adapter.rs
@@ -20,8 +20,8 @@
     Gateways,
     /// Addresses of map agents, one row per instance.
     MapAgents,
-    /// Crashes of endpoints that gateways saw, one row per instance.
-    CrashReports,
+    /// What gateways observed of endpoints, one row per instance.
+    Facts,
     /// Coordinators of groups, one row per group. The row's version is the leadership number.
     Leases,
 }
@@ -34,7 +34,7 @@
             Self::Endpoints => "endpoints",
             Self::Gateways => "gateways",
             Self::MapAgents => "map agents",
-            Self::CrashReports => "crash reports",
+            Self::Facts => "endpoint facts",
             Self::Leases => "leases",
         }
     }
