Never pass on a response that a crash cut short as complete

What callers would see: half of a response with status 200 that looks whole.

Cause: a response with neither length nor chunks ends with its connection. The process of a crashed endpoint ends its connections in the same way, and if a stream happens to stop between two events, nothing shows that it is incomplete. Ruled out for connections that are reset: those end in an error.

Change: at the end of such a response, the gateway asks by a new connection whether the endpoint has ended, and takes the response for broken if so. One more connection for each response without length and chunks, none for others.

Conclusion: a crash can't be taken for an end any more while the endpoint is down; one that is back within the round trip still can.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use slog::info;
 use sycamorestile_core::direct::{access, attempts, endpoint, response_class, route};
 use sycamorestile_core::problem;
@@ -330,10 +330,15 @@
             Ok(AttemptResult::Stream(Box::new(open)))
         }
         class => {
+            let ends_with_connection = ends_with_connection(&parts.headers, &body);
             let Some(bytes) = read_body(req_cx, body).await else {
                 cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
                 return Ok(failed(req_cx.attempts.lost(), "answer broke off"));
             };
+            if ends_with_connection && pool::Pool::refuses_connections(&slot.endpoint).await {
+                cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
+                return Ok(failed(req_cx.attempts.lost(), "endpoint crashed"));
+            }
             release_connection(lease, &parts.headers, &head);
             if class == response_class::ResponseClass::Response {
                 cx.placement.borrow_mut().record_success(&id, head.load, now);
@@ -371,6 +376,13 @@
     time::timeout(remaining, reading).await.ok().flatten()
 }
 
+/// Returns whether the end of a body is only known by the end of its connection, so that a crash of the endpoint looks
+/// like a complete response.
+pub(crate) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
+    let is_framed = headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING);
+    !is_framed && !body.is_end_stream()
+}
+
 /// Returns the connection to the pool unless the response asks to close it.
 pub(crate) fn release_connection(lease: pool::Lease, headers: &HeaderMap, head: &header_adapter::ResponseHead) {
     let tokens = headers
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -48,6 +48,7 @@
         slot,
     } = open;
     let headers = parts.headers.clone();
+    let ends_with_connection = attempt::ends_with_connection(&headers, &body);
     // The length can change if the stream is resumed at another endpoint.
     parts.headers.remove(header::CONTENT_LENGTH);
     let response = attempt::caller_response(parts, response_body::ResponseBody::stream(rx));
@@ -63,6 +64,7 @@
         head,
         lease,
         slot,
+        ends_with_connection,
         written: None,
         is_proved: false,
     }));
@@ -76,6 +78,7 @@
     head: header_adapter::ResponseHead,
     lease: pool::Lease,
     slot: request::EndpointSlot,
+    ends_with_connection: bool,
     /// When the first and the last event arrived.
     written: Option<(Time, Time)>,
     /// Whether this part has proved the segments of the prompt sound.
@@ -92,12 +95,6 @@
     fn written_for(&self) -> Duration {
         self.written.map_or(Duration::ZERO, |(first, last)| last.since(first))
     }
-
-    /// Returns whether the end of the body shows that the response is complete, as opposed to one that ends with its
-    /// connection.
-    fn is_framed(&self) -> bool {
-        self.headers.contains_key(header::CONTENT_LENGTH) || self.headers.contains_key(header::TRANSFER_ENCODING)
-    }
 }
 
 /// The reason why an endpoint's part of a stream ended.
@@ -131,7 +128,8 @@
             let id = Arc::clone(&stream.slot.endpoint.id);
             match end {
                 StreamEnd::Complete => {
-                    if !stream.is_proved && crash_evidence::is_proof(Duration::ZERO, stream.is_framed()) {
+                    if crash_evidence::is_proof(stream.written_for(), !stream.ends_with_connection) && !stream.is_proved
+                    {
                         crash_watch::record_proof(&self.cx, &self.req_cx.call);
                     }
                     attempt::release_connection(stream.lease, &stream.headers, &stream.head);
@@ -197,6 +195,9 @@
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return StreamEnd::Broken("stream broke"),
                 Ok(None) if self.buffer.has_partial() => return StreamEnd::Broken("stream ended within an event"),
+                Ok(None) if stream.ends_with_connection && pool::Pool::refuses_connections(&endpoint).await => {
+                    return StreamEnd::Broken("endpoint crashed");
+                }
                 Ok(None) => return StreamEnd::Complete,
                 Err(_) => {
                     if self.is_stalled(&endpoint, last_event_at) {
@@ -283,6 +284,7 @@
                         slot,
                     } = *open;
                     return Some(EndpointStream {
+                        ends_with_connection: attempt::ends_with_connection(&parts.headers, &body),
                         headers: parts.headers,
                         body,
                         head,
