Don't wait for the body of a refusal before the next attempt

What callers would see: a request that another endpoint could serve is refused, or breaks off, only at its deadline.

Cause: the gateway read the body of an endpoint's refusal, up to 8 MB or the caller's deadline, before it tried another endpoint. Ruled out: heads without end, garbage and endless header lines are cut by the HTTP library at once (three cases that passed before).

Change: a task of its own reads the body, up to 64 KB and 250 ms, and then keeps the connection.

Conclusion: mended.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use slog::info;
 use sycamorestile_core::direct::{access, attempts, endpoint, response_class, route};
@@ -24,6 +24,10 @@
 
 /// The largest response that is buffered whole, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// The largest body of a refusal that is read, in bytes. The connection of a larger one is closed.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+/// How long the body of a refusal is read.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(250);
 /// The time by which the longest wait for the head of a resumable stream exceeds the time that a group stalls after the
 /// loss of a rank.
 const STREAM_HEAD_MARGIN: Duration = Duration::from_millis(250);
@@ -311,9 +315,7 @@
             } else {
                 cx.placement.borrow_mut().record_refusal(&id, now);
             }
-            if read_body(req_cx, body).await.is_some() {
-                release_connection(lease, &parts.headers, &head);
-            }
+            tokio::task::spawn_local(discard_refusal(lease, parts.headers, head, body));
             Ok(failed(req_cx.attempts.refused(), "refused by the endpoint"))
         }
         response_class::ResponseClass::Response
@@ -359,6 +361,15 @@
     }
 }
 
+/// Reads the body of a refusal, so that its connection can be used again. The request does not wait for that, since the
+/// body may never end.
+async fn discard_refusal(lease: pool::Lease, headers: HeaderMap, head: header_adapter::ResponseHead, body: Incoming) {
+    let reading = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+    if let Ok(Ok(_)) = time::timeout(REFUSAL_TIMEOUT, reading).await {
+        release_connection(lease, &headers, &head);
+    }
+}
+
 /// Reads the whole body, or returns `None` if it breaks off, is too large or is not complete by the deadline.
 async fn read_body(req_cx: &request::RequestContext, mut body: Incoming) -> Option<Bytes> {
     let remaining = req_cx.call.deadline.since(boot_clock::now());
