Bound the memory of all buffered responses together

What would happen: a gateway is killed for its memory, with all streams on it, while some endpoints send bodies without end.

Cause: each plain response was buffered up to 8 MB, with no bound for all of them: 60 requests at endless endpoints took 512 MB, where the smallest instances have 160.

Change: up to 64 KB are buffered for any response; what is beyond that shares 32 MB, and a response that finds no room breaks off.

Small responses are served meanwhile by construction, not by a test. Conclusion: mended for gateways.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -24,6 +24,10 @@
 
 /// The largest response that is buffered whole, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// The size up to which every response is buffered, in bytes. Larger ones share [`MAX_BUFFERED_BYTES`].
+const SMALL_RESPONSE_BYTES: usize = 64 << 10;
+/// The largest number of bytes that all larger responses together may buffer.
+const MAX_BUFFERED_BYTES: usize = 32 << 20;
 /// The largest body of a refusal that is read, in bytes. The connection of a larger one is closed.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// How long the body of a refusal is read.
@@ -333,7 +337,7 @@
         }
         class => {
             let ends_with_connection = ends_with_connection(&parts.headers, &body);
-            let Some(bytes) = read_body(req_cx, body).await else {
+            let Some(bytes) = read_body(cx, req_cx, body).await else {
                 cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
                 return Ok(failed(req_cx.attempts.lost(), "answer broke off"));
             };
@@ -371,14 +375,21 @@
 }
 
 /// Reads the whole body, or returns `None` if it breaks off, is too large or is not complete by the deadline.
-async fn read_body(req_cx: &request::RequestContext, mut body: Incoming) -> Option<Bytes> {
+async fn read_body(
+    cx: &context::GatewayContext,
+    req_cx: &request::RequestContext,
+    mut body: Incoming,
+) -> Option<Bytes> {
     let remaining = req_cx.call.deadline.since(boot_clock::now());
     let reading = async {
         let mut bytes = BytesMut::new();
+        let mut reservation = context::Reservation::new(&cx.buffered_bytes);
         while let Some(frame) = body.frame().await {
             let frame = frame.ok()?;
             bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d.as_ref()));
-            if bytes.len() > MAX_RESPONSE_BYTES {
+            let is_within_budget =
+                reservation.grow_to(bytes.len().saturating_sub(SMALL_RESPONSE_BYTES), MAX_BUFFERED_BYTES);
+            if bytes.len() > MAX_RESPONSE_BYTES || !is_within_budget {
                 return None;
             }
         }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -44,6 +44,8 @@
     pub(crate) pool: pool::Pool,
     pub(crate) rng: RefCell<ChaCha8Rng>,
     pub(crate) metrics: metrics::Metrics,
+    /// The number of bytes of larger responses that are buffered.
+    pub(crate) buffered_bytes: Rc<Cell<usize>>,
     /// The number of requests whose responses are not yet fully written.
     pub(crate) in_flight: Rc<Cell<usize>>,
     /// The number of open connections to callers and to the monitoring address.
@@ -125,3 +127,35 @@
         self.count.set(self.count.get() - 1);
     }
 }
+
+/// A part of a shared budget, which is returned on drop.
+pub(crate) struct Reservation {
+    used: Rc<Cell<usize>>,
+    amount: usize,
+}
+
+impl Reservation {
+    pub(crate) fn new(used: &Rc<Cell<usize>>) -> Self {
+        Self {
+            used: Rc::clone(used),
+            amount: 0,
+        }
+    }
+
+    /// Extends the reservation to `amount`. Returns `false` if all reservations together would exceed `budget`.
+    pub(crate) fn grow_to(&mut self, amount: usize, budget: usize) -> bool {
+        let others = self.used.get() - self.amount;
+        let is_within_budget = amount <= self.amount || others + amount <= budget;
+        if is_within_budget && amount > self.amount {
+            self.used.set(others + amount);
+            self.amount = amount;
+        }
+        is_within_budget
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.used.set(self.used.get() - self.amount);
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -89,6 +89,7 @@
         pool: pool::Pool::default(),
         rng: RefCell::new(rand::make_rng::<ChaCha8Rng>()),
         metrics: metrics::Metrics::new(),
+        buffered_bytes: Rc::default(),
         in_flight: Rc::default(),
         open_connections: Rc::default(),
         draining,
