Bound the responses that the client of the table and of ranks reads

What would happen: a map agent is killed for its memory while its rank sends a response without end; the same for a gateway and the table.

Change: 4 MB at most, with an error of its own that says that a write may have taken effect. A page of the table has 1 MB.

The clients of the product's own path (ureq, tarpc) were not looked at.

--- a/crates/table/src/client.rs
+++ b/crates/table/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
@@ -16,6 +16,9 @@
 /// Timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Largest body of a response that is read, in bytes. A page of the table's rows has 1 MB and their keys.
+pub const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
 /// Error of an HTTP call.
 #[derive(Debug, Error)]
 pub enum CallError {
@@ -28,6 +31,9 @@
     /// No response arrived before the timeout. A write may have taken effect.
     #[error("timed out")]
     TimedOut,
+    /// The body of the response is larger than [`MAX_RESPONSE_BYTES`]. A write may have taken effect.
+    #[error("the response is larger than {MAX_RESPONSE_BYTES} bytes")]
+    ResponseTooLarge,
     /// The server responded with a status other than success.
     #[error("response status {0}")]
     ErrorStatus(StatusCode),
@@ -103,8 +109,15 @@
             connection.sender.ready().await?;
             let response = connection.sender.send_request(req).await?;
             let status = response.status();
-            let body = response.into_body().collect().await?.to_bytes();
-            Ok::<_, CallError>((status, body))
+            let mut body = response.into_body();
+            let mut bytes = BytesMut::new();
+            while let Some(frame) = body.frame().await {
+                bytes.extend_from_slice(frame?.data_ref().map_or(&[][..], |d| d.as_ref()));
+                if bytes.len() > MAX_RESPONSE_BYTES {
+                    return Err(CallError::ResponseTooLarge);
+                }
+            }
+            Ok::<_, CallError>((status, bytes.freeze()))
         };
         let (status, body) = time::timeout(timeout, exchange)
             .await
