Forward an endpoint's error response when no other endpoint is left

What callers saw: 502 with our own words in place of the endpoint's 500, when the request may be repeated and no other endpoint can take it.

Cause: the error response was dropped with its attempt, and only the last attempt's was forwarded. When the next attempt found no endpoint, nothing was left to forward.

Change: the last error response of an endpoint is kept until the request ends.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -49,6 +49,8 @@
     }
     wait_for_short_passes(cx, &req_cx.call).await;
     let mut last_event_id = req_cx.call.head.last_event_id.clone();
+    // An error response of an endpoint tells the caller more than one of the gateway.
+    let mut endpoint_failure = None;
     loop {
         let result = attempt::run(cx, &mut req_cx, last_event_id.as_deref()).await;
         match result {
@@ -61,14 +63,15 @@
             }
             Ok(attempt::AttemptResult::Failed { next, why, failure }) => {
                 req_cx.attempt_failed(cx, why, next);
+                endpoint_failure = failure.or(endpoint_failure);
                 if let Some(reason) = request::stop_reason(cx, &req_cx, next) {
                     let response =
-                        failure.map_or_else(|| request::failure_response(cx, &req_cx, reason), |failure| *failure);
+                        endpoint_failure.map_or_else(|| request::failure_response(cx, &req_cx, reason), |f| *f);
                     return request::finish(cx, &req_cx, response, why);
                 }
             }
             Err(kind) => {
-                let response = request::failure_response(cx, &req_cx, kind);
+                let response = endpoint_failure.map_or_else(|| request::failure_response(cx, &req_cx, kind), |f| *f);
                 return request::finish(cx, &req_cx, response, kind.slug());
             }
         }
