Count simultaneous crashes as one piece of evidence against a segment

What callers would see: requests with a sound segment refused for ten minutes after a failure domain was lost.

Cause: the quarantine counted endpoints. Four endpoints that are lost together count as four crashes, and a frequent segment that no answer has proved sound yet is in flight at two or three of them.

Change: crashes within 0.5 s are one moment, a segment is blamed for it only if most of the crashed endpoints had it, and two moments are needed.

Tests: two new ones failed on the former code and pass.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -5,8 +5,8 @@
 //! lock-step group for seconds.
 //!
 //! A crash is evidence against the shared segments of all requests that the endpoint had just begun. An answer that was
-//! written for a while, or to its end, proves that all its segments are sound. The segment that explains the most
-//! crashes is quarantined, and what it explains no longer counts against others. Instances exchange [`CrashFacts`], and
+//! written for a while, or to its end, proves that all its segments are sound. The segment that explains crashes at the
+//! most moments is quarantined, and what it explains no longer counts against others. Instances exchange [`CrashFacts`], and
 //! reach the same verdict from the same facts.
 
 use std::sync::Arc;
@@ -20,12 +20,12 @@
 /// Time for which an answer must have been written to prove that its segments are sound. An endpoint crashes within a
 /// few passes of the group.
 const SOUND_ANSWER_TIME: Duration = Duration::from_secs(1);
-/// Number of crashes that quarantine a segment that no answer has proved sound.
-const MIN_CRASHES: usize = 2;
+/// Number of moments with crashes that quarantine a segment that no answer has proved sound.
+const MIN_MOMENTS: usize = 2;
 /// The same for a segment that was proved sound before the crashes.
-const MIN_CRASHES_IF_PROVED: usize = 4;
-/// Period within which crashes count as simultaneous.
-const SIMULTANEOUS: Duration = Duration::from_millis(500);
+const MIN_MOMENTS_IF_PROVED: usize = 4;
+/// Period within which crashes belong to one moment. They may have one cause and are not independent evidence.
+const MOMENT: Duration = Duration::from_millis(500);
 /// Age at which crashes and proofs are forgotten. A quarantine ends by this.
 const MEMORY: Duration = Duration::from_secs(600);
 /// Period within which reports of one endpoint concern the same crash. An instance that was suspended reports late.
@@ -104,7 +104,8 @@
     told_proofs: Vec<Proof>,
     /// Sorted by segment.
     quarantined: Vec<Quarantine>,
-    /// Number of crashes that each segment may explain and no quarantined one does, sorted by segment.
+    /// Number of moments at which each segment may have caused a crash that no quarantined one explains, sorted by
+    /// segment.
     suspicions: Vec<(Arc<str>, usize)>,
 }
 
@@ -158,10 +159,10 @@
     pub fn allows_repeat(&self, segments: &[Arc<str>]) -> bool {
         segments.iter().all(|segment| {
             let at = self.suspicions.binary_search_by(|(s, _)| s.cmp(segment));
-            let crashes = at.map_or(0, |at| self.suspicions[at].1);
+            let moments = at.map_or(0, |at| self.suspicions[at].1);
             let is_quarantined = self.quarantined.binary_search_by(|q| q.segment.cmp(segment)).is_ok();
-            // One crash less than a quarantine takes.
-            !is_quarantined && crashes + 1 < self.min_crashes(segment)
+            // One moment less than a quarantine takes.
+            !is_quarantined && moments + 1 < self.min_moments(segment)
         })
     }
 
@@ -279,56 +280,75 @@
     /// Determines the quarantined segments.
     fn judge(&mut self, now: time::Time) {
         let mut unexplained: Vec<&Crash> = self.crashes.iter().filter(|c| now.since(c.at) < MEMORY).collect();
+        unexplained.sort_unstable_by_key(|c| c.at);
         let mut quarantined = Vec::new();
         loop {
             let tallies = self.tallies(&unexplained);
-            let is_guilty = |t: &&Tally| t.crashes.len() >= self.min_crashes(&t.segment) && t.stands_out(&unexplained);
+            let is_guilty = |t: &&Tally| t.blamed_at.len() >= self.min_moments(&t.segment);
             // A segment that was never proved sound goes before one that was.
-            let rank = |t: &Tally| (self.last_proof(&t.segment).is_none(), t.crashes.len());
+            let rank = |t: &Tally| (self.last_proof(&t.segment).is_none(), t.blamed_at.len());
             let Some(worst) = tallies.iter().filter(is_guilty).map(rank).max() else {
-                self.suspicions = tallies.into_iter().map(|t| (t.segment, t.crashes.len())).collect();
+                self.suspicions = tallies.into_iter().map(|t| (t.segment, t.moments)).collect();
                 break;
             };
             let guilty: Vec<&Tally> = tallies.iter().filter(is_guilty).filter(|t| rank(t) == worst).collect();
             unexplained.retain(|c| !guilty.iter().any(|t| c.suspects.contains(&t.segment)));
             quarantined.extend(guilty.into_iter().map(|t| Quarantine {
                 segment: Arc::clone(&t.segment),
-                crashes: t.crashes.len(),
-                until: t.expiry(self.min_crashes(&t.segment)),
+                crashes: t.crashes,
+                until: t.expiry(self.min_moments(&t.segment)),
             }));
         }
         quarantined.sort_by(|a, b| a.segment.cmp(&b.segment));
         self.quarantined = quarantined;
     }
 
-    /// Counts the crashes that each segment may have caused, sorted by segment.
+    /// Counts what each segment may have caused, sorted by segment. `crashes` must be sorted by time.
     fn tallies(&self, crashes: &[&Crash]) -> Vec<Tally> {
         let mut tallies: Vec<Tally> = Vec::new();
-        for crash in crashes {
-            for segment in &crash.suspects {
-                if self.last_proof(segment).is_some_and(|at| at >= crash.at) {
-                    continue;
-                }
-                match tallies.binary_search_by(|t| t.segment.cmp(segment)) {
-                    Ok(at) => tallies[at].crashes.push(crash.at),
-                    Err(at) => tallies.insert(
-                        at,
-                        Tally {
-                            segment: Arc::clone(segment),
-                            crashes: vec![crash.at],
-                        },
-                    ),
+        let mut rest = crashes;
+        while let Some(first) = rest.first() {
+            let (moment, later) = rest.split_at(rest.partition_point(|c| c.at.since(first.at) <= MOMENT));
+            rest = later;
+            for (segment, count) in self.suspects_of(moment) {
+                let at = tallies
+                    .binary_search_by(|t| t.segment.cmp(segment))
+                    .unwrap_or_else(|at| {
+                        tallies.insert(at, Tally::new(segment));
+                        at
+                    });
+                let tally = &mut tallies[at];
+                tally.crashes += count;
+                tally.moments += 1;
+                // Most crashes of a moment have one cause, such as the loss of a failure domain.
+                if 2 * count > moment.len() {
+                    tally.blamed_at.push(first.at);
                 }
             }
         }
         tallies
     }
 
-    fn min_crashes(&self, segment: &Arc<str>) -> usize {
+    /// Counts how many of `crashes` each segment may have caused, sorted by segment.
+    fn suspects_of<'a>(&self, crashes: &[&'a Crash]) -> Vec<(&'a Arc<str>, usize)> {
+        let mut counts: Vec<(&Arc<str>, usize)> = Vec::new();
+        for crash in crashes {
+            let is_suspect = |s: &&Arc<str>| self.last_proof(s).is_none_or(|at| at < crash.at);
+            for segment in crash.suspects.iter().filter(is_suspect) {
+                match counts.binary_search_by(|(s, _)| (*s).cmp(segment)) {
+                    Ok(at) => counts[at].1 += 1,
+                    Err(at) => counts.insert(at, (segment, 1)),
+                }
+            }
+        }
+        counts
+    }
+
+    fn min_moments(&self, segment: &Arc<str>) -> usize {
         if self.last_proof(segment).is_some() {
-            MIN_CRASHES_IF_PROVED
+            MIN_MOMENTS_IF_PROVED
         } else {
-            MIN_CRASHES
+            MIN_MOMENTS
         }
     }
 
@@ -354,29 +374,30 @@
     }
 }
 
-/// The crashes that a segment may have caused.
+/// What a segment may have caused.
 struct Tally {
     segment: Arc<str>,
-    /// Times of the crashes.
-    crashes: Vec<time::Time>,
+    /// Number of crashes.
+    crashes: usize,
+    /// Number of moments at which an endpoint crashed.
+    moments: usize,
+    /// The moments at which most of the endpoints that crashed had the segment, in order.
+    blamed_at: Vec<time::Time>,
 }
 
 impl Tally {
-    /// Returns whether the segment may have caused at least half of the crashes at the time of its own. Otherwise they
-    /// probably have another cause, such as the loss of a failure domain.
-    fn stands_out(&self, crashes: &[&Crash]) -> bool {
-        let is_near = |c: &&&Crash| {
-            let distance = |at: &time::Time| at.since(c.at).max(c.at.since(*at));
-            self.crashes.iter().any(|at| distance(at) <= SIMULTANEOUS)
-        };
-        2 * self.crashes.len() >= crashes.iter().filter(is_near).count()
+    fn new(segment: &Arc<str>) -> Self {
+        Self {
+            segment: Arc::clone(segment),
+            crashes: 0,
+            moments: 0,
+            blamed_at: Vec::new(),
+        }
     }
 
-    /// Returns when fewer than `min_crashes` of the crashes are remembered.
-    fn expiry(&self, min_crashes: usize) -> time::Time {
-        let mut newest_first = self.crashes.clone();
-        newest_first.sort_unstable_by(|a, b| b.cmp(a));
-        newest_first[min_crashes - 1] + MEMORY
+    /// Returns when fewer than `min_moments` of the moments are remembered.
+    fn expiry(&self, min_moments: usize) -> time::Time {
+        self.blamed_at[self.blamed_at.len() - min_moments] + MEMORY
     }
 }
 
--- a/crates/core/tests/direct_crash_evidence.rs
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -87,6 +87,30 @@
     assert!(names(&evidence).is_empty(), "only two of five had it");
 }
 
+#[test]
+fn simultaneous_crashes_count_as_one_moment() {
+    let mut evidence = CrashEvidence::default();
+    for n in 0..4 {
+        crash(&mut evidence, &format!("m-{n}"), &["a"], 1_000 + 100 * n);
+    }
+    assert!(names(&evidence).is_empty());
+    crash(&mut evidence, "m-4", &["a"], 6_000);
+    assert_eq!(names(&evidence), ["a"]);
+}
+
+#[test]
+fn crash_amid_the_loss_of_a_failure_domain_counts_for_nothing() {
+    let mut evidence = CrashEvidence::default();
+    crash(&mut evidence, "m-0", &["bad", "a"], 1_000);
+    for n in 1..5 {
+        crash(&mut evidence, &format!("m-{n}"), &["b", "c"], 1_000);
+    }
+    crash(&mut evidence, "m-5", &["bad"], 6_000);
+    assert!(names(&evidence).is_empty());
+    crash(&mut evidence, "m-6", &["bad"], 11_000);
+    assert_eq!(names(&evidence), ["bad"]);
+}
+
 #[test]
 fn request_whose_endpoint_crashed_is_not_repeated() {
     let mut evidence = CrashEvidence::default();
