--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -24,6 +24,7 @@
 pub mod event_buffer;
 pub mod expert_model;
 pub mod freshness;
+pub mod gossip;
 pub mod merged;
 pub mod outage;
 pub mod pacing;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -49,6 +49,8 @@
 /// The delay between attempts to write one of them.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// The shortest time between two writes of facts about endpoints.
+const MIN_FACTS_INTERVAL: Duration = Duration::from_millis(500);
 /// The interval at which a gateway reads the declarations while it relies on the reads that another gateway reports.
 const RELAYED_READ_INTERVAL: Duration = Duration::from_secs(25);
 /// The interval at which the age of the last confirmation is checked.
@@ -216,6 +218,7 @@
             }
             timer::sleep(PUBLISH_RETRY_DELAY).await;
         }
+        timer::sleep(MIN_FACTS_INTERVAL).await;
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,7 +29,7 @@
 /// The time for which a read of the declarations is sent. It covers at least two rounds, since datagrams can get lost.
 const READ_REPEAT_TIME: Duration = Duration::from_secs(1);
 /// The largest datagram that is received, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+const MAX_DATAGRAM_BYTES: usize = 32 << 10;
 
 /// The content of a datagram.
 #[derive(Debug, Serialize, Deserialize)]
