Divide the evidence of crashes and the rate limits by type

One type with its impls a file: crashes, tallies, quarantines and facts leave crash_evidence.rs, one endpoint's limit leaves rate_limits.rs, reservations leave context.rs. Crashes are kept in order of arrival, since nothing used the other order. No change of behaviour; the pure tests pass unchanged but for an import.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -6,15 +6,13 @@
 //!
 //! A crash is evidence against the shared segments of all requests that the endpoint had just begun. An answer that was
 //! written for a while, or to its end, proves that all its segments are sound. The segment that explains crashes at the
-//! most moments is quarantined, and what it explains no longer counts against others. Instances exchange [`CrashFacts`], and
-//! reach the same verdict from the same facts.
+//! most moments is quarantined, and what it explains no longer counts against others. Instances exchange
+//! [`crash_facts::CrashFacts`], and reach the same verdict from the same facts.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
-use crate::direct::merged;
+use crate::direct::{crash, crash_facts, crash_tally, merged, quarantine};
 use crate::time;
 
 /// Time for which an answer must have been written to prove that its segments are sound. An endpoint crashes within a
@@ -28,8 +26,6 @@
 const MOMENT: Duration = Duration::from_millis(500);
 /// Age at which crashes and proofs are forgotten. A quarantine ends by this.
 const MEMORY: Duration = Duration::from_secs(600);
-/// Period within which reports of one endpoint concern the same crash. An instance that was suspended reports late.
-const SAME_CRASH: Duration = Duration::from_secs(10);
 /// Upper bound of the number of crashes kept.
 const MAX_CRASHES: usize = 32;
 /// Upper bound of the number of suspected segments kept for each crash.
@@ -37,65 +33,14 @@
 /// Upper bound of the number of segments whose last proof is kept.
 const MAX_PROVED: usize = 4_096;
 
-/// A crash of an endpoint.
-#[derive(Debug, Clone)]
-struct Crash {
-    endpoint: Arc<str>,
-    /// The earliest time reported.
-    at: time::Time,
-    /// Segments of the requests that the endpoint had just begun, sorted; at most [`MAX_SUSPECTS`].
-    suspects: Vec<Arc<str>>,
-}
-
 /// A segment and when it was last proved sound.
 type Proof = (Arc<str>, time::Time);
 
-/// A quarantined segment.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Quarantine {
-    /// The segment.
-    pub segment: Arc<str>,
-    /// Number of crashes that it explains.
-    pub crashes: usize,
-    /// When the quarantine ends if there are no further crashes.
-    pub until: time::Time,
-}
-
-/// What an instance tells others about crashes.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashFacts {
-    /// The crashes that it knows of.
-    pub crashes: Vec<CrashFact>,
-    /// Suspected segments that it has itself seen proved sound. The proofs of others are not passed on, since their age
-    /// would shrink with each hop.
-    pub proofs: Vec<ProofFact>,
-}
-
-/// A crash, as told to other instances.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashFact {
-    /// The endpoint that crashed.
-    pub endpoint: Arc<str>,
-    /// Age of the crash in milliseconds.
-    pub age_ms: u64,
-    /// The segments that may have caused it.
-    pub suspects: Vec<Arc<str>>,
-}
-
-/// A proof that a segment is sound, as told to other instances.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ProofFact {
-    /// The segment.
-    pub segment: Arc<str>,
-    /// Age of the proof in milliseconds.
-    pub age_ms: u64,
-}
-
 /// All evidence of crashes that an instance has, and the verdict that follows from it.
 #[derive(Debug, Clone, Default)]
 pub struct CrashEvidence {
-    /// Sorted by endpoint, then by time; at most [`MAX_CRASHES`].
-    crashes: Vec<Crash>,
+    /// At most [`MAX_CRASHES`], with [`MAX_SUSPECTS`] each.
+    crashes: Vec<crash::Crash>,
     /// Number of reports of this instance that were news to it.
     own_reports: u64,
     /// Proofs that this instance has seen, sorted by segment; at most [`MAX_PROVED`].
@@ -103,7 +48,7 @@
     /// Proofs that others have seen, sorted by segment; only of suspected segments.
     told_proofs: Vec<Proof>,
     /// Sorted by segment.
-    quarantined: Vec<Quarantine>,
+    quarantined: Vec<quarantine::Quarantine>,
     /// Number of moments at which each segment may have caused a crash that no quarantined one explains, sorted by
     /// segment.
     suspicions: Vec<(Arc<str>, usize)>,
@@ -139,18 +84,18 @@
     }
 
     /// Returns the quarantined segment among `segments`.
-    pub fn quarantined(&self, segments: &[Arc<str>]) -> Option<&Quarantine> {
+    pub fn quarantined(&self, segments: &[Arc<str>]) -> Option<&quarantine::Quarantine> {
         let found = |s: &Arc<str>| self.quarantined.binary_search_by(|q| q.segment.cmp(s)).ok();
         segments.iter().find_map(found).map(|at| &self.quarantined[at])
     }
 
-    /// Returns how long the quarantine lasts.
-    pub fn remaining(quarantine: &Quarantine, now: time::Time) -> Duration {
+    /// Returns how long `quarantine` lasts.
+    pub fn remaining(quarantine: &quarantine::Quarantine, now: time::Time) -> Duration {
         quarantine.until.since(shifted(now))
     }
 
     /// Returns all quarantined segments, sorted.
-    pub fn quarantines(&self) -> &[Quarantine] {
+    pub fn quarantines(&self) -> &[quarantine::Quarantine] {
         &self.quarantined
     }
 
@@ -181,10 +126,10 @@
     }
 
     /// Returns what to tell other instances.
-    pub fn facts(&self, now: time::Time) -> CrashFacts {
+    pub fn facts(&self, now: time::Time) -> crash_facts::CrashFacts {
         let now = shifted(now);
         let age_ms = |at: time::Time| now.since(at).as_millis() as u64;
-        let crashes = self.crashes.iter().map(|c| CrashFact {
+        let crashes = self.crashes.iter().map(|c| crash_facts::CrashFact {
             endpoint: Arc::clone(&c.endpoint),
             age_ms: age_ms(c.at),
             suspects: c.suspects.clone(),
@@ -194,12 +139,12 @@
         suspects.dedup();
         let proofs = suspects.into_iter().filter_map(|segment| {
             let at = find(&self.own_proofs, segment)?;
-            Some(ProofFact {
+            Some(crash_facts::ProofFact {
                 segment: Arc::clone(segment),
                 age_ms: age_ms(at),
             })
         });
-        CrashFacts {
+        crash_facts::CrashFacts {
             crashes: crashes.collect(),
             proofs: proofs.collect(),
         }
@@ -211,7 +156,7 @@
     }
 
     /// Merges the facts that another instance told `elapsed` ago.
-    pub fn merge(&mut self, facts: &CrashFacts, elapsed: Duration, now: time::Time) -> merged::Merged {
+    pub fn merge(&mut self, facts: &crash_facts::CrashFacts, elapsed: Duration, now: time::Time) -> merged::Merged {
         let now = shifted(now);
         let time_of = |age_ms: u64| {
             let age = Duration::from_millis(age_ms) + elapsed;
@@ -236,24 +181,18 @@
     /// Adds a crash, or the suspects of a known one. Returns whether anything was added.
     fn add_crash(&mut self, endpoint: &Arc<str>, segments: &[Arc<str>], at: time::Time) -> bool {
         let known = self.crashes.iter().position(|c| c.is_same(endpoint, at));
-        let (index, is_new) = known.map_or_else(
-            || {
-                self.make_room();
-                let key = |c: &Crash| (Arc::clone(&c.endpoint), c.at);
-                let index = self.crashes.partition_point(|c| key(c) < (Arc::clone(endpoint), at));
-                let crash = Crash {
-                    endpoint: Arc::clone(endpoint),
-                    at,
-                    suspects: Vec::new(),
-                };
-                self.crashes.insert(index, crash);
-                (index, true)
-            },
-            |index| (index, false),
-        );
+        let mut is_news = known.is_none();
+        let index = known.unwrap_or_else(|| {
+            self.make_room();
+            self.crashes.push(crash::Crash {
+                endpoint: Arc::clone(endpoint),
+                at,
+                suspects: Vec::new(),
+            });
+            self.crashes.len() - 1
+        });
         let crash = &mut self.crashes[index];
         crash.at = crash.at.min(at);
-        let mut is_news = is_new;
         for segment in segments {
             if let Err(at) = crash.suspects.binary_search(segment)
                 && crash.suspects.len() < MAX_SUSPECTS
@@ -270,7 +209,7 @@
         if self.crashes.len() < MAX_CRASHES {
             return;
         }
-        let is_support = |c: &Crash| self.quarantined.iter().any(|q| c.suspects.contains(&q.segment));
+        let is_support = |c: &crash::Crash| self.quarantined.iter().any(|q| c.suspects.contains(&q.segment));
         let oldest = (0..self.crashes.len()).min_by_key(|&i| (is_support(&self.crashes[i]), self.crashes[i].at));
         if let Some(index) = oldest {
             self.crashes.remove(index);
@@ -279,24 +218,25 @@
 
     /// Determines the quarantined segments.
     fn judge(&mut self, now: time::Time) {
-        let mut unexplained: Vec<&Crash> = self.crashes.iter().filter(|c| now.since(c.at) < MEMORY).collect();
+        let mut unexplained: Vec<&crash::Crash> = self.crashes.iter().filter(|c| now.since(c.at) < MEMORY).collect();
         unexplained.sort_unstable_by_key(|c| c.at);
         let mut quarantined = Vec::new();
         loop {
             let tallies = self.tallies(&unexplained);
-            let is_guilty = |t: &&Tally| t.blamed_at.len() >= self.min_moments(&t.segment);
+            let is_guilty = |t: &&crash_tally::Tally| t.blamed_at.len() >= self.min_moments(&t.segment);
             // A segment that was never proved sound goes before one that was.
-            let rank = |t: &Tally| (self.last_proof(&t.segment).is_none(), t.blamed_at.len());
+            let rank = |t: &crash_tally::Tally| (self.last_proof(&t.segment).is_none(), t.blamed_at.len());
             let Some(worst) = tallies.iter().filter(is_guilty).map(rank).max() else {
                 self.suspicions = tallies.into_iter().map(|t| (t.segment, t.moments)).collect();
                 break;
             };
-            let guilty: Vec<&Tally> = tallies.iter().filter(is_guilty).filter(|t| rank(t) == worst).collect();
+            let guilty: Vec<&crash_tally::Tally> =
+                tallies.iter().filter(is_guilty).filter(|t| rank(t) == worst).collect();
             unexplained.retain(|c| !guilty.iter().any(|t| c.suspects.contains(&t.segment)));
-            quarantined.extend(guilty.into_iter().map(|t| Quarantine {
+            quarantined.extend(guilty.into_iter().map(|t| quarantine::Quarantine {
                 segment: Arc::clone(&t.segment),
                 crashes: t.crashes,
-                until: t.expiry(self.min_moments(&t.segment)),
+                until: expiry(&t.blamed_at, self.min_moments(&t.segment)),
             }));
         }
         quarantined.sort_by(|a, b| a.segment.cmp(&b.segment));
@@ -304,8 +244,8 @@
     }
 
     /// Counts what each segment may have caused, sorted by segment. `crashes` must be sorted by time.
-    fn tallies(&self, crashes: &[&Crash]) -> Vec<Tally> {
-        let mut tallies: Vec<Tally> = Vec::new();
+    fn tallies(&self, crashes: &[&crash::Crash]) -> Vec<crash_tally::Tally> {
+        let mut tallies: Vec<crash_tally::Tally> = Vec::new();
         let mut rest = crashes;
         while let Some(first) = rest.first() {
             let (moment, later) = rest.split_at(rest.partition_point(|c| c.at.since(first.at) <= MOMENT));
@@ -314,7 +254,7 @@
                 let at = tallies
                     .binary_search_by(|t| t.segment.cmp(segment))
                     .unwrap_or_else(|at| {
-                        tallies.insert(at, Tally::new(segment));
+                        tallies.insert(at, crash_tally::Tally::new(segment));
                         at
                     });
                 let tally = &mut tallies[at];
@@ -330,7 +270,7 @@
     }
 
     /// Counts how many of `crashes` each segment may have caused, sorted by segment.
-    fn suspects_of<'a>(&self, crashes: &[&'a Crash]) -> Vec<(&'a Arc<str>, usize)> {
+    fn suspects_of<'a>(&self, crashes: &[&'a crash::Crash]) -> Vec<(&'a Arc<str>, usize)> {
         let mut counts: Vec<(&Arc<str>, usize)> = Vec::new();
         for crash in crashes {
             let is_suspect = |s: &&Arc<str>| self.last_proof(s).is_none_or(|at| at < crash.at);
@@ -357,48 +297,9 @@
     }
 }
 
-impl Crash {
-    fn is_same(&self, endpoint: &Arc<str>, at: time::Time) -> bool {
-        self.endpoint == *endpoint && at.since(self.at).max(self.at.since(at)) < SAME_CRASH
-    }
-
-    /// Returns whether `facts`, told `elapsed` ago, contain this crash with all its suspects.
-    fn is_covered_by(&self, facts: &CrashFacts, now: time::Time, elapsed: Duration) -> bool {
-        facts.crashes.iter().any(|fact| {
-            let age = Duration::from_millis(fact.age_ms) + elapsed;
-            let difference = age.abs_diff(now.since(self.at));
-            fact.endpoint == self.endpoint
-                && difference < SAME_CRASH
-                && self.suspects.iter().all(|s| fact.suspects.contains(s))
-        })
-    }
-}
-
-/// What a segment may have caused.
-struct Tally {
-    segment: Arc<str>,
-    /// Number of crashes.
-    crashes: usize,
-    /// Number of moments at which an endpoint crashed.
-    moments: usize,
-    /// The moments at which most of the endpoints that crashed had the segment, in order.
-    blamed_at: Vec<time::Time>,
-}
-
-impl Tally {
-    fn new(segment: &Arc<str>) -> Self {
-        Self {
-            segment: Arc::clone(segment),
-            crashes: 0,
-            moments: 0,
-            blamed_at: Vec::new(),
-        }
-    }
-
-    /// Returns when fewer than `min_moments` of the moments are remembered.
-    fn expiry(&self, min_moments: usize) -> time::Time {
-        self.blamed_at[self.blamed_at.len() - min_moments] + MEMORY
-    }
+/// Returns when fewer than `min_moments` of the moments `blamed_at` are remembered.
+fn expiry(blamed_at: &[time::Time], min_moments: usize) -> time::Time {
+    blamed_at[blamed_at.len() - min_moments] + MEMORY
 }
 
 /// Returns `now` on a clock that was at [`MEMORY`] at the origin, so that events from before the origin have a time.
@@ -406,7 +307,7 @@
     now + MEMORY
 }
 
-fn is_suspected(crashes: &[Crash], segment: &Arc<str>) -> bool {
+fn is_suspected(crashes: &[crash::Crash], segment: &Arc<str>) -> bool {
     crashes.iter().any(|c| c.suspects.binary_search(segment).is_ok())
 }
 
--- /dev/null
+++ b/crates/core/src/direct/crash_tally.rs
@@ -0,0 +1,27 @@
+//! Counts of the crashes that a segment of a prompt may have caused.
+
+use std::sync::Arc;
+
+use crate::time;
+
+/// What a segment may have caused.
+pub(super) struct Tally {
+    pub(super) segment: Arc<str>,
+    /// Number of crashes.
+    pub(super) crashes: usize,
+    /// Number of moments at which an endpoint crashed.
+    pub(super) moments: usize,
+    /// The moments at which most of the endpoints that crashed had the segment, in order.
+    pub(super) blamed_at: Vec<time::Time>,
+}
+
+impl Tally {
+    pub(super) fn new(segment: &Arc<str>) -> Self {
+        Self {
+            segment: Arc::clone(segment),
+            crashes: 0,
+            moments: 0,
+            blamed_at: Vec::new(),
+        }
+    }
+}
--- a/crates/core/src/direct/rate_limits.rs
+++ b/crates/core/src/direct/rate_limits.rs
@@ -10,8 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::direct::merged;
-use crate::rendezvous;
+use crate::direct::{merged, rate_limit};
 use crate::time;
 
 /// Time without an observation after which a limit is forgotten.
@@ -21,10 +20,6 @@
 /// Difference of two observations of the same limit up to which they count as one. The age of a fact that is passed on
 /// shrinks with each hop.
 const SAME_OBSERVATION: Duration = Duration::from_millis(500);
-/// Number of requests that a holder may send at once, in addition to [`BURST_TIME`] of its share.
-const MIN_BURST: f64 = 1.0;
-/// Time for which a holder may save up its share.
-const BURST_TIME: Duration = Duration::from_millis(250);
 /// Upper bound of the number of limits told at once.
 const MAX_FACTS: usize = 64;
 
@@ -39,20 +34,6 @@
     pub age_ms: u64,
 }
 
-/// What an endpoint last said about its limit, and this instance's share of it.
-#[derive(Debug, Clone)]
-struct Limit {
-    endpoint: Arc<str>,
-    /// Requests per second that it takes; `None` if it named no limit any more.
-    per_second: Option<f64>,
-    observed_at: time::Time,
-    /// Requests per second that this instance may send; 0 unless it is a holder.
-    share: f64,
-    /// Number of requests that this instance might send at `updated_at`.
-    allowance: f64,
-    updated_at: time::Time,
-}
-
 /// The rate limits of endpoints.
 #[derive(Debug, Clone)]
 pub struct RateLimits {
@@ -60,7 +41,7 @@
     /// All instances that this one hears of, including itself.
     instances: Vec<Arc<str>>,
     /// Sorted by endpoint.
-    limits: Vec<Limit>,
+    limits: Vec<rate_limit::Limit>,
     /// Number of observations of this instance that were news to it.
     own_reports: u64,
     /// Index of the first limit that is told next.
@@ -110,9 +91,7 @@
     /// Records that a request is sent to `endpoint`.
     pub fn spend(&mut self, endpoint: &str, now: time::Time) {
         if let Ok(at) = self.position(endpoint) {
-            let limit = &mut self.limits[at];
-            limit.allowance = limit.allowance(now) - 1.0;
-            limit.updated_at = now;
+            self.limits[at].spend(now);
         }
     }
 
@@ -146,7 +125,7 @@
 
     /// Merges the limits that another instance told `elapsed` ago.
     pub fn merge(&mut self, facts: &[LimitFact], elapsed: Duration, now: time::Time) -> merged::Merged {
-        let is_told = |limit: &Limit| facts.iter().any(|f| f.endpoint == limit.endpoint);
+        let is_told = |limit: &rate_limit::Limit| facts.iter().any(|f| f.endpoint == limit.endpoint);
         let sender_lacks = facts.len() < MAX_FACTS && self.limits.iter().any(|l| l.per_second.is_some() && !is_told(l));
         let mut learned = false;
         for fact in facts {
@@ -171,15 +150,8 @@
             Ok(at) => (at, self.limits[at].per_second),
             Err(_) if per_second.is_none() => return false,
             Err(at) => {
-                let limit = Limit {
-                    endpoint: Arc::clone(endpoint),
-                    per_second: None,
-                    observed_at,
-                    share: 0.0,
-                    allowance: 0.0,
-                    updated_at: now,
-                };
-                self.limits.insert(at, limit);
+                self.limits
+                    .insert(at, rate_limit::Limit::new(endpoint, observed_at, now));
                 (at, None)
             }
         };
@@ -205,30 +177,7 @@
         self.limits.binary_search_by(|l| l.endpoint.as_ref().cmp(endpoint))
     }
 
-    fn find(&self, endpoint: &str) -> Option<&Limit> {
+    fn find(&self, endpoint: &str) -> Option<&rate_limit::Limit> {
         self.position(endpoint).ok().map(|at| &self.limits[at])
     }
 }
-
-impl Limit {
-    /// Returns the number of requests that this instance may send now.
-    fn allowance(&self, now: time::Time) -> f64 {
-        let gained = self.share * now.since(self.updated_at).as_secs_f64();
-        (self.allowance + gained).min(MIN_BURST + self.share * BURST_TIME.as_secs_f64())
-    }
-
-    /// Determines this instance's share of the limit.
-    fn set_share(&mut self, own_instance: &Arc<str>, instances: &[Arc<str>], now: time::Time) {
-        self.allowance = self.allowance(now);
-        self.updated_at = now;
-        let per_second = self.per_second.unwrap_or_default();
-        // One holder for each request per second, so that their bursts stay small against the limit.
-        let count = (per_second as usize + 1).min(instances.len());
-        let holders = rendezvous::choose(self.endpoint.as_bytes(), instances, count);
-        self.share = if holders.contains(&own_instance) {
-            per_second / count as f64
-        } else {
-            0.0
-        };
-    }
-}
--- a/crates/core/tests/direct_crash_evidence.rs
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use sycamorestile_core::direct::crash_evidence::{CrashEvidence, CrashFacts, is_proof};
+use sycamorestile_core::direct::crash_evidence::{CrashEvidence, is_proof};
+use sycamorestile_core::direct::crash_facts::CrashFacts;
 use sycamorestile_core::time::Time;
 
 /// Returns a time shortly after the clock's origin, as on a machine that has just been booted.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::header_adapter;
 use crate::pool;
 use crate::request;
+use crate::reservation;
 use crate::response_body;
 
 /// The largest response that is buffered whole, in bytes.
@@ -383,7 +384,7 @@
     let remaining = req_cx.call.deadline.since(boot_clock::now());
     let reading = async {
         let mut bytes = BytesMut::new();
-        let mut reservation = context::Reservation::new(&cx.buffered_bytes);
+        let mut reservation = reservation::Reservation::new(&cx.buffered_bytes);
         while let Some(frame) = body.frame().await {
             let frame = frame.ok()?;
             bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d.as_ref()));
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use sycamorestile_core::direct::{crash_evidence, endpoint};
+use sycamorestile_core::direct::{crash_evidence, endpoint, quarantine};
 use sycamorestile_core::problem;
 use sycamorestile_table::boot_clock;
 
@@ -76,7 +76,7 @@
     let before = evidence.quarantines().to_vec();
     let result = change(&mut evidence);
     let after = evidence.quarantines();
-    let is_in = |list: &[crash_evidence::Quarantine], q: &crash_evidence::Quarantine| {
+    let is_in = |list: &[quarantine::Quarantine], q: &quarantine::Quarantine| {
         list.binary_search_by(|known| known.segment.cmp(&q.segment)).is_ok()
     };
     for quarantine in after.iter().filter(|q| !is_in(&before, q)) {
--- a/crates/gateway/src/fact_exchange.rs
+++ b/crates/gateway/src/fact_exchange.rs
@@ -12,7 +12,7 @@
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
-use sycamorestile_core::direct::{crash_evidence, gossip, merged, rate_limits};
+use sycamorestile_core::direct::{crash_facts, gossip, merged, rate_limits};
 use sycamorestile_core::time::Time;
 use sycamorestile_table::boot_clock;
 use tokio::net::UdpSocket;
@@ -26,7 +26,7 @@
 /// What gateways tell each other about endpoints.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct EndpointFacts {
-    crashes: crash_evidence::CrashFacts,
+    crashes: crash_facts::CrashFacts,
     #[serde(default)]
     limits: Vec<rate_limits::LimitFact>,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod proxy;
 mod refuse;
 mod request;
+mod reservation;
 mod response_body;
 mod run;
 mod server;
