Never reply to a reply in the exchange of facts

What would happen: two gateways send each other datagrams as fast as they can.

Cause: a gateway replies to one that lacks something it knows. Crashes and suspects are bounded, so that two gateways may each keep what the other has no room for, and then each lacks something for good.

Change: replies are marked, and nobody replies to them. Rounds and asking are as before.

--- a/crates/gateway/src/fact_exchange.rs
+++ b/crates/gateway/src/fact_exchange.rs
@@ -26,6 +26,10 @@
 /// What gateways tell each other about endpoints.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct EndpointFacts {
+    /// Whether the facts reply to another datagram. Two gateways that each keep something that the other has no room for
+    /// would otherwise reply to each other without end.
+    #[serde(default)]
+    is_reply: bool,
     crashes: crash_facts::CrashFacts,
     #[serde(default)]
     limits: Vec<rate_limits::LimitFact>,
@@ -44,6 +48,7 @@
     fn collect(cx: &context::GatewayContext) -> Self {
         let now = boot_clock::now();
         Self {
+            is_reply: false,
             crashes: cx.crash_evidence.borrow().facts(now),
             limits: cx.rate_limits.borrow_mut().facts(now),
         }
@@ -113,8 +118,12 @@
             "peer" => %from, "crashes" => facts.crashes.crashes.len(), "limits" => facts.limits.len());
         cx.fact_news.notify_one();
     }
-    if merged.sender_lacks {
-        peers::send_facts(cx, socket, from, EndpointFacts::collect(cx)).await;
+    if merged.sender_lacks && !facts.is_reply {
+        let reply = EndpointFacts {
+            is_reply: true,
+            ..EndpointFacts::collect(cx)
+        };
+        peers::send_facts(cx, socket, from, reply).await;
     }
 }
 
