Read on after a refusal, at every server of the product's own path

What callers saw: a connection reset in place of the response, when the entry refuses a call whose body it hasn't read (413 by the declared length, unknown service, bad or missing header).

Cause: the former repair (in http_server::read_body) covers handlers that read the body themselves. Every refusal before that dropped the body, and the server closed the connection with unread data. Ruled out: the caller; it had not read yet.

Change: handlers get a body of our own type that reads on when it is dropped before its end, for the same 2 s and 64 MB. So it holds for entries, agents, health pages and stand-ins, and for handlers to come.

Test: large_body_of_a_refused_call_does_not_hide_the_response, through a real entry, six calls of 8 MB by declared length and in chunks: failed before with a broken pipe, passes now. Conclusion: mended there; the gateway is next.

--- a/crates/node/src/agent/server.rs
+++ b/crates/node/src/agent/server.rs
@@ -13,7 +13,6 @@
 use futures::StreamExt;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
 use sycamorestile_core::attempt_id;
 use sycamorestile_core::attempt_queue;
 use sycamorestile_core::frame_order;
@@ -31,6 +30,7 @@
 use crate::agent::frame_log;
 use crate::error;
 use crate::http_server;
+use crate::request_body;
 
 /// Maximum size of an encoded attempt, in bytes.
 const MAX_ATTEMPT_BYTES: usize = 65 << 20;
@@ -51,7 +51,10 @@
     http_server::Server::start("calls", addr, move |req| handle(Arc::clone(&cx), req)).await
 }
 
-async fn handle(cx: Arc<context::AgentContext>, req: Request<Incoming>) -> Response<http_server::Body> {
+async fn handle(
+    cx: Arc<context::AgentContext>,
+    req: Request<request_body::RequestBody>,
+) -> Response<http_server::Body> {
     let path = req.uri().path().to_owned();
     match *req.method() {
         Method::POST if path == "/attempts" => begin(cx, req).await,
@@ -75,7 +78,7 @@
     ))
 }
 
-async fn begin(cx: Arc<context::AgentContext>, req: Request<Incoming>) -> Response<http_server::Body> {
+async fn begin(cx: Arc<context::AgentContext>, req: Request<request_body::RequestBody>) -> Response<http_server::Body> {
     let Ok(body) = http_server::read_body(req.into_body(), MAX_ATTEMPT_BYTES).await else {
         return http_server::full_response(400, "text/plain", "the attempt could not be read\n");
     };
--- a/crates/node/src/entry/server.rs
+++ b/crates/node/src/entry/server.rs
@@ -9,7 +9,6 @@
 use futures::StreamExt;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
 use rand::RngExt;
 use serde::Deserialize;
 use sycamorestile_core::call_head;
@@ -25,6 +24,7 @@
 use crate::entry::context;
 use crate::error;
 use crate::http_server;
+use crate::request_body;
 
 /// Content type of problem responses.
 const PROBLEM_JSON: &str = "application/problem+json";
@@ -63,7 +63,10 @@
     }
 }
 
-async fn handle(cx: Arc<context::EntryContext>, req: http::Request<Incoming>) -> Response<http_server::Body> {
+async fn handle(
+    cx: Arc<context::EntryContext>,
+    req: http::Request<request_body::RequestBody>,
+) -> Response<http_server::Body> {
     let id = format!("{:016x}", cx.rng().random::<u64>());
     let received = cx.clock.now();
     let (parts, body) = req.into_parts();
@@ -154,7 +157,7 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
-async fn read_body(body: Incoming, head: &call_head::CallHead) -> Result<Bytes, problem::Problem> {
+async fn read_body(body: request_body::RequestBody, head: &call_head::CallHead) -> Result<Bytes, problem::Problem> {
     let limit = usize::try_from(head.max_body_bytes).unwrap_or(usize::MAX);
     let read = http_server::read_body(body, limit).await;
     read.map_err(|error| match error {
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -8,6 +8,7 @@
 use crate::error;
 use crate::http_server;
 use crate::metrics;
+use crate::request_body;
 
 /// Starts the server of `/healthz`, `/readyz` and `/metrics`.
 ///
@@ -19,7 +20,7 @@
     ready: Arc<AtomicBool>,
     metrics: Arc<metrics::Metrics>,
 ) -> Result<http_server::Server, error::StartError> {
-    let handler = move |req: http::Request<hyper::body::Incoming>| {
+    let handler = move |req: http::Request<request_body::RequestBody>| {
         let (ready, metrics) = (Arc::clone(&ready), Arc::clone(&metrics));
         async move {
             match req.uri().path() {
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
@@ -19,6 +19,7 @@
 use tokio::time;
 
 use crate::error;
+use crate::request_body;
 
 /// Body of a response.
 pub type Body = BoxBody<Bytes, Infallible>;
@@ -27,11 +28,6 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time within which a request body must be received.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time for which the rest of a body that is too large is read. If the connection were closed with unread data, the
-/// caller would see a reset instead of the response.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-/// Largest part of such a body that is read and discarded, in bytes.
-const MAX_DISCARDED_BYTES: usize = 64 << 20;
 /// Time within which a connection that was accepted before a stop must send its request.
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Delay after a failed accept, which usually means that the process is out of file descriptors.
@@ -55,7 +51,7 @@
     /// Returns [`error::StartError::Bind`] if the address cannot be bound.
     pub async fn start<F, R>(what: &'static str, addr: SocketAddr, handler: F) -> Result<Self, error::StartError>
     where
-        F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+        F: Fn(Request<request_body::RequestBody>) -> R + Clone + Send + Sync + 'static,
         R: Future<Output = Response<Body>> + Send + 'static,
     {
         let bind = |source| error::StartError::Bind { what, addr, source };
@@ -96,7 +92,7 @@
     mut stopped: watch::Receiver<bool>,
     connections: Arc<AtomicUsize>,
 ) where
-    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    F: Fn(Request<request_body::RequestBody>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
     let in_connections = stopped.clone();
@@ -130,16 +126,16 @@
 
 async fn serve_connection<F, R>(stream: TcpStream, handler: F, mut stopped: watch::Receiver<bool>)
 where
-    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    F: Fn(Request<request_body::RequestBody>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
     // Avoids delaying small frames until earlier ones are acknowledged. A failure only costs latency.
     let _nodelay = stream.set_nodelay(true);
     let requested = Arc::new(Notify::new());
     let first_request = Arc::clone(&requested);
-    let service = service::service_fn(move |req| {
+    let service = service::service_fn(move |req: Request<Incoming>| {
         requested.notify_one();
-        let response = handler(req);
+        let response = handler(req.map(request_body::RequestBody::new));
         async move { Ok::<_, Infallible>(response.await) }
     });
     let connection = http1::Builder::new()
@@ -180,7 +176,7 @@
 /// # Errors
 ///
 /// Returns a [`BodyError`] if the body is too large or is not received completely.
-pub async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+pub async fn read_body(mut body: request_body::RequestBody, limit: usize) -> Result<Bytes, BodyError> {
     let mut bytes = BytesMut::new();
     let reading = async {
         while let Some(frame) = body.frame().await {
@@ -195,26 +191,11 @@
     let read = time::timeout(BODY_TIMEOUT, reading).await;
     match read {
         Ok(Ok(())) => Ok(bytes.freeze()),
-        Ok(Err(e)) => {
-            if e == BodyError::TooLarge {
-                discard_body(body);
-            }
-            Err(e)
-        }
+        Ok(Err(e)) => Err(e),
         Err(_) => Err(BodyError::Incomplete),
     }
 }
 
-/// Reads and discards the rest of a body in a background task.
-fn discard_body(body: Incoming) {
-    tokio::spawn(async move {
-        let mut rest = Limited::new(body, MAX_DISCARDED_BYTES);
-        let discarding = async { while let Some(Ok(_)) = rest.frame().await {} };
-        // After the timeout, the caller has had enough time to read the response.
-        let _read = time::timeout(DISCARD_TIMEOUT, discarding).await;
-    });
-}
-
 /// Creates a response with a complete body.
 pub fn full_response(status: u16, content_type: &str, body: impl Into<Bytes>) -> Response<Body> {
     let mut response = Response::new(Full::new(body.into()).boxed());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod http_server;
 mod mailbox;
 pub mod metrics;
+pub mod request_body;
 pub mod settings;
--- a/crates/node/tests/http_server.rs
+++ b/crates/node/tests/http_server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use sycamorestile_node::http_server::{Server, full_response, read_body};
+use sycamorestile_node::request_body::RequestBody;
 use tokio::runtime::Runtime;
 
 /// Largest body that the handler accepts, in bytes.
@@ -12,7 +13,7 @@
 
 /// Starts a server that answers 413 to larger bodies, and 200 to others.
 fn start(runtime: &Runtime) -> Server {
-    let handler = |req: http::Request<hyper::body::Incoming>| async move {
+    let handler = |req: http::Request<RequestBody>| async move {
         match read_body(req.into_body(), MAX_BODY_BYTES).await {
             Ok(_) => full_response(200, "text/plain", "ok"),
             Err(e) => full_response(413, "text/plain", e.to_string()),
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -13,10 +13,10 @@
 use futures::StreamExt;
 use http::{Method, Request, Response, header};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use sycamorestile_node::error;
 use sycamorestile_node::http_server;
+use sycamorestile_node::request_body;
 use tokio::sync::mpsc;
 use tokio::time;
 use tokio_stream::wrappers::UnboundedReceiverStream;
@@ -175,7 +175,11 @@
     }
 }
 
-async fn handle(group: Arc<Mutex<Group>>, rank: usize, req: Request<Incoming>) -> Response<http_server::Body> {
+async fn handle(
+    group: Arc<Mutex<Group>>,
+    rank: usize,
+    req: Request<request_body::RequestBody>,
+) -> Response<http_server::Body> {
     match (req.method().clone(), req.uri().path()) {
         (Method::POST, "/v1/completions") => complete(&group, rank, req).await,
         (Method::GET, "/state") => json::respond(200, &lock(&group).state()),
@@ -190,7 +194,11 @@
     }
 }
 
-async fn complete(group: &Mutex<Group>, rank: usize, req: Request<Incoming>) -> Response<http_server::Body> {
+async fn complete(
+    group: &Mutex<Group>,
+    rank: usize,
+    req: Request<request_body::RequestBody>,
+) -> Response<http_server::Body> {
     let Some(request) = json::read_json::<CompletionRequest>(req.into_body()).await else {
         return json::text(400, "request body must be a JSON completion request with a prompt\n");
     };
--- a/crates/standins/src/json.rs
+++ b/crates/standins/src/json.rs
@@ -2,10 +2,10 @@
 
 use bytes::Bytes;
 use http::Response;
-use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sycamorestile_node::http_server;
+use sycamorestile_node::request_body;
 
 /// Maximum size of a request body.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -27,14 +27,14 @@
 /// Reads a whole request body.
 ///
 /// Returns `None` when the body is too large or does not arrive in full.
-pub async fn read_body(body: Incoming) -> Option<Bytes> {
+pub async fn read_body(body: request_body::RequestBody) -> Option<Bytes> {
     http_server::read_body(body, MAX_BODY_BYTES).await.ok()
 }
 
 /// Reads a whole request body and decodes it as JSON.
 ///
 /// Returns `None` when the body is too large, does not arrive in full or does not decode as a `T`.
-pub async fn read_json<T>(body: Incoming) -> Option<T>
+pub async fn read_json<T>(body: request_body::RequestBody) -> Option<T>
 where
     T: DeserializeOwned,
 {
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use http::{Method, Request, Response};
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use sycamorestile_node::error;
 use sycamorestile_node::http_server;
+use sycamorestile_node::request_body;
 use tokio::time;
 
 use crate::json;
@@ -112,7 +112,7 @@
     books.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn handle(books: Arc<Mutex<Books>>, req: Request<Incoming>) -> Response<http_server::Body> {
+async fn handle(books: Arc<Mutex<Books>>, req: Request<request_body::RequestBody>) -> Response<http_server::Body> {
     let path = req.uri().path().to_owned();
     match *req.method() {
         Method::POST if path == "/bookings" => create_booking(&books, req).await,
@@ -131,7 +131,7 @@
     }
 }
 
-async fn create_booking(books: &Mutex<Books>, req: Request<Incoming>) -> Response<http_server::Body> {
+async fn create_booking(books: &Mutex<Books>, req: Request<request_body::RequestBody>) -> Response<http_server::Body> {
     let Some(request) = json::read_json::<BookingRequest>(req.into_body()).await else {
         return json::text(400, "request body must be a JSON object with account and cents\n");
     };
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use http::{Method, Request, Response};
-use hyper::body::Incoming;
 use serde::Deserialize;
 use sycamorestile_core::name;
 use sycamorestile_node::error;
 use sycamorestile_node::http_server;
+use sycamorestile_node::request_body;
 use sycamorestile_platform::instance;
 use tokio::time;
 
@@ -79,7 +79,7 @@
 
 async fn handle(
     state: Arc<Mutex<platform_state::PlatformState>>,
-    req: Request<Incoming>,
+    req: Request<request_body::RequestBody>,
 ) -> Response<http_server::Body> {
     let path = req.uri().path().to_owned();
     let method = req.method().clone();
@@ -131,7 +131,10 @@
     }
 }
 
-async fn commit(state: &Mutex<platform_state::PlatformState>, req: Request<Incoming>) -> Response<http_server::Body> {
+async fn commit(
+    state: &Mutex<platform_state::PlatformState>,
+    req: Request<request_body::RequestBody>,
+) -> Response<http_server::Body> {
     let Some(commit) = json::read_json(req.into_body()).await else {
         return json::text(400, "request body must be a JSON commit request\n");
     };
@@ -148,7 +151,7 @@
 
 async fn read_weights(
     state: &Mutex<platform_state::PlatformState>,
-    req: Request<Incoming>,
+    req: Request<request_body::RequestBody>,
 ) -> Response<http_server::Body> {
     let Some(request) = json::read_json::<WeightRequest>(req.into_body()).await else {
         return json::text(400, "request body must be a JSON object with bytes\n");
--- a/tests/all/bad_input.rs
+++ b/tests/all/bad_input.rs
@@ -1,5 +1,9 @@
 //! Invalid requests are rejected with a typed problem before any endpoint is called.
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
 use crate::support::caller;
 use crate::support::cluster;
 
@@ -17,6 +21,8 @@
 const DEADLINE: &str = "sycamorestile-deadline-ms";
 const BOOKINGS: &str = "/ledger/bookings";
 const COMPLETIONS: &str = "/assistant/v1/completions";
+/// Size of a body that is larger than what the sockets of a connection buffer.
+const LARGE_BODY_BYTES: usize = 8 << 20;
 const BOOKING: &str = r#"{"account":"bad","cents":1}"#;
 
 const fn case<'a>(
@@ -198,6 +204,60 @@
     assert_eq!(caller.bookings("bad"), 0);
 }
 
+/// Sends `head` and a body of [`LARGE_BODY_BYTES`], and returns the response.
+fn send_large_body(addr: SocketAddr, head: &str, is_chunked: bool) -> String {
+    let mut stream = TcpStream::connect(addr).expect("the entry listens");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .expect("the read timeout is set");
+    let framing = if is_chunked {
+        "Transfer-Encoding: chunked".to_owned()
+    } else {
+        format!("Content-Length: {LARGE_BODY_BYTES}")
+    };
+    let head = format!("POST {head}Host: a\r\nConnection: close\r\n{framing}\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    let part = vec![b'x'; 1 << 20];
+    for _ in 0..LARGE_BODY_BYTES / part.len() {
+        if is_chunked {
+            stream.write_all(b"100000\r\n").expect("the entry reads on");
+        }
+        stream.write_all(&part).expect("the entry reads on");
+        if is_chunked {
+            stream.write_all(b"\r\n").expect("the entry reads on");
+        }
+    }
+    let mut response = Vec::new();
+    // The connection may end in a reset after the response.
+    let _read = stream.read_to_end(&mut response);
+    String::from_utf8_lossy(&response).into_owned()
+}
+
+#[test]
+fn large_body_of_a_refused_call_does_not_hide_the_response() {
+    let cluster = cluster::Cluster::start(1);
+    let addr = cluster.entries[0].process.addr("callers").parse().expect("an address");
+    let organisation = "Sycamorestile-Organisation: acme\r\n";
+    let bookings = format!("{BOOKINGS} HTTP/1.1\r\n{organisation}");
+    let cases = [
+        (bookings.clone(), false, 413),
+        (bookings, true, 413),
+        (format!("/nowhere/x HTTP/1.1\r\n{organisation}"), false, 404),
+        (format!("/nowhere/x HTTP/1.1\r\n{organisation}"), true, 404),
+        (format!("{BOOKINGS} HTTP/1.1\r\n"), false, 400),
+        (
+            format!("{BOOKINGS} HTTP/1.1\r\n{organisation}{DEADLINE}: soon\r\n"),
+            true,
+            400,
+        ),
+    ];
+    for (head, is_chunked, status) in cases {
+        let response = send_large_body(addr, &head, is_chunked);
+        let expected = format!("HTTP/1.1 {status}");
+        assert!(response.starts_with(&expected), "{head:?}: {response:?}");
+    }
+}
+
 #[test]
 fn an_organisation_over_its_limit_gets_429_with_retry_after() {
     let cluster = cluster::Cluster::start(1);
