Read on after a refusal for a bad header at the gateway

Its refusals for routes, keys, lengths and leaving read on already.

Test: large_body_of_a_refused_request_does_not_hide_the_response, 8 MB each; the case of a bad header failed before (broken pipe), the two others guard what was right. All pass now.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -140,11 +140,17 @@
     let path = parts.uri.path().to_owned();
     let host_header = parts.headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let host = host_header.or(parts.uri.host()).unwrap_or_default().to_owned();
-    let head = (cx.header_adapter.read_call)(&parts.headers).map_err(|error| Refusal {
-        id: None,
-        path: path.clone(),
-        problem: problem::Problem::new(problem::ProblemKind::BadHeader, error.to_string()),
-    })?;
+    let head = match (cx.header_adapter.read_call)(&parts.headers) {
+        Ok(head) => head,
+        Err(error) => {
+            discard_body(body);
+            return Err(Refusal {
+                id: None,
+                path,
+                problem: problem::Problem::new(problem::ProblemKind::BadHeader, error.to_string()),
+            });
+        }
+    };
     let refusal = |kind: problem::ProblemKind| Refusal {
         id: head.attempt.clone(),
         path: path.clone(),
