Tell a request that is refused midway how long its segment is quarantined

A request whose segment is quarantined while it waits for a connection got the usual half second in Retry-After, and one refused at the start the time that the quarantine lasts. Both get the latter now. The new test guards the refusal at the start (it passed before); the moment between is not tested.

Comments of two fields say what they hold.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -155,7 +155,7 @@
     if !grant.route.targets.iter().any(|t| t.service == endpoint.service) {
         return Ok(failed(req_cx.attempts.not_sent(), "route moved to another service"));
     }
-    if crash_watch::quarantine_problem(cx, &req_cx.call).is_some() {
+    if crash_watch::quarantine_remaining(cx, &req_cx.call).is_some() {
         return Err(problem::ProblemKind::SegmentQuarantined);
     }
     if req_cx.attempts.sent_count() == 0 {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -32,6 +32,7 @@
     pub(crate) header_adapter: header_adapter::HeaderAdapter,
     pub(crate) snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
     pub(crate) placement: RefCell<placement::Placement>,
+    /// The rate limits that endpoints name.
     pub(crate) rate_limits: RefCell<rate_limits::RateLimits>,
     /// This instance's share of each service's retry budget.
     pub(crate) retry_shares: service_map::ServiceMap<retry_share::RetryShare>,
@@ -39,7 +40,7 @@
     pub(crate) pacings: service_map::ServiceMap<pacing::Pacing>,
     /// Crashes of endpoints, and the segments of prompts that are quarantined for them.
     pub(crate) crash_evidence: RefCell<crash_evidence::CrashEvidence>,
-    /// Notified when this instance or a peer reports a new crash.
+    /// Notified when this instance learns a fact about an endpoint that its peers may lack.
     pub(crate) fact_news: Notify,
     pub(crate) pool: pool::Pool,
     pub(crate) rng: RefCell<ChaCha8Rng>,
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -50,11 +50,18 @@
     }
 }
 
+/// Returns how long a segment of the request is quarantined, or `None` if none is.
+pub(crate) fn quarantine_remaining(cx: &context::GatewayContext, call: &handle::Call) -> Option<Duration> {
+    let evidence = cx.crash_evidence.borrow();
+    let quarantine = evidence.quarantined(&call.head.shared_segments)?;
+    Some(crash_evidence::CrashEvidence::remaining(quarantine, boot_clock::now()))
+}
+
 /// Returns the problem to report if a segment of the request is quarantined.
 pub(crate) fn quarantine_problem(cx: &context::GatewayContext, call: &handle::Call) -> Option<problem::Problem> {
+    let remaining = quarantine_remaining(cx, call)?;
     let evidence = cx.crash_evidence.borrow();
     let quarantine = evidence.quarantined(&call.head.shared_segments)?;
-    let remaining = crash_evidence::CrashEvidence::remaining(quarantine, boot_clock::now());
     let detail = format!(
         "{} endpoints crashed on segment {}",
         quarantine.crashes, quarantine.segment
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -13,6 +13,7 @@
 use sycamorestile_table::boot_clock;
 
 use crate::context;
+use crate::crash_watch;
 use crate::handle;
 use crate::refuse;
 use crate::response_body;
@@ -178,6 +179,9 @@
 
 /// Returns the wait for the `Retry-After` of a refusal.
 pub(crate) fn retry_wait(cx: &context::GatewayContext, req_cx: &RequestContext) -> Duration {
+    if let Some(remaining) = crash_watch::quarantine_remaining(cx, &req_cx.call) {
+        return remaining;
+    }
     let target = req_cx.call.grant.route.targets.first();
     let now = boot_clock::now();
     let is_unavailable = target.is_some_and(|t| cx.outages.with(&t.service, |o| o.is_unavailable(now)));
