Find a segment that crashes endpoints amid other crashes

What callers would see: where endpoints flap, a segment that crashes others is never quarantined.

Cause: since a segment is blamed for a moment only if most of the endpoints that crashed then had it. Where one or two others crash at each moment, it never is.

Change: a segment that no answer has proved sound is also quarantined after four moments without a majority.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -20,8 +20,9 @@
 const SOUND_ANSWER_TIME: Duration = Duration::from_secs(1);
 /// Number of moments with crashes that quarantine a segment that no answer has proved sound.
 const MIN_MOMENTS: usize = 2;
-/// The same for a segment that was proved sound before the crashes.
-const MIN_MOMENTS_IF_PROVED: usize = 4;
+/// The same for a segment that was proved sound before the crashes, or that most endpoints which crashed at the same
+/// moments did not have.
+const MIN_WEAK_MOMENTS: usize = 4;
 /// Period within which crashes belong to one moment. They may have one cause and are not independent evidence.
 const MOMENT: Duration = Duration::from_millis(500);
 /// Age at which crashes and proofs are forgotten. A quarantine ends by this.
@@ -223,11 +224,11 @@
         let mut quarantined = Vec::new();
         loop {
             let tallies = self.tallies(&unexplained);
-            let is_guilty = |t: &&crash_tally::Tally| t.blamed_at.len() >= self.min_moments(&t.segment);
+            let is_guilty = |t: &&crash_tally::Tally| self.last_decisive(t).is_some();
             // A segment that was never proved sound goes before one that was.
             let rank = |t: &crash_tally::Tally| (self.last_proof(&t.segment).is_none(), t.blamed_at.len());
             let Some(worst) = tallies.iter().filter(is_guilty).map(rank).max() else {
-                self.suspicions = tallies.into_iter().map(|t| (t.segment, t.moments)).collect();
+                self.suspicions = tallies.into_iter().map(|t| (t.segment, t.moments.len())).collect();
                 break;
             };
             let guilty: Vec<&crash_tally::Tally> =
@@ -236,7 +237,7 @@
             quarantined.extend(guilty.into_iter().map(|t| quarantine::Quarantine {
                 segment: Arc::clone(&t.segment),
                 crashes: t.crashes,
-                until: expiry(&t.blamed_at, self.min_moments(&t.segment)),
+                until: self.last_decisive(t).unwrap_or_default() + MEMORY,
             }));
         }
         quarantined.sort_by(|a, b| a.segment.cmp(&b.segment));
@@ -259,7 +260,7 @@
                     });
                 let tally = &mut tallies[at];
                 tally.crashes += count;
-                tally.moments += 1;
+                tally.moments.push(first.at);
                 // Most crashes of a moment have one cause, such as the loss of a failure domain.
                 if 2 * count > moment.len() {
                     tally.blamed_at.push(first.at);
@@ -284,9 +285,18 @@
         counts
     }
 
+    /// Returns the last moment without which there would be too few to quarantine the segment, or `None` if there are too
+    /// few.
+    fn last_decisive(&self, tally: &crash_tally::Tally) -> Option<time::Time> {
+        let last_of = |moments: &[time::Time], count: usize| moments.iter().rev().nth(count - 1).copied();
+        let by_blame = last_of(&tally.blamed_at, self.min_moments(&tally.segment));
+        let is_proved = self.last_proof(&tally.segment).is_some();
+        by_blame.max(last_of(&tally.moments, MIN_WEAK_MOMENTS).filter(|_| !is_proved))
+    }
+
     fn min_moments(&self, segment: &Arc<str>) -> usize {
         if self.last_proof(segment).is_some() {
-            MIN_MOMENTS_IF_PROVED
+            MIN_WEAK_MOMENTS
         } else {
             MIN_MOMENTS
         }
@@ -297,11 +307,6 @@
     }
 }
 
-/// Returns when fewer than `min_moments` of the moments `blamed_at` are remembered.
-fn expiry(blamed_at: &[time::Time], min_moments: usize) -> time::Time {
-    blamed_at[blamed_at.len() - min_moments] + MEMORY
-}
-
 /// Returns `now` on a clock that was at [`MEMORY`] at the origin, so that events from before the origin have a time.
 fn shifted(now: time::Time) -> time::Time {
     now + MEMORY
--- a/crates/core/src/direct/crash_tally.rs
+++ b/crates/core/src/direct/crash_tally.rs
@@ -9,8 +9,8 @@
     pub(super) segment: Arc<str>,
     /// Number of crashes.
     pub(super) crashes: usize,
-    /// Number of moments at which an endpoint crashed.
-    pub(super) moments: usize,
+    /// The moments at which an endpoint crashed, in order.
+    pub(super) moments: Vec<time::Time>,
     /// The moments at which most of the endpoints that crashed had the segment, in order.
     pub(super) blamed_at: Vec<time::Time>,
 }
@@ -20,7 +20,7 @@
         Self {
             segment: Arc::clone(segment),
             crashes: 0,
-            moments: 0,
+            moments: Vec::new(),
             blamed_at: Vec::new(),
         }
     }
--- a/crates/core/tests/crash_days/mod.rs
+++ b/crates/core/tests/crash_days/mod.rs
@@ -90,8 +90,8 @@
     outcome: Outcome,
 }
 
-/// Plays the day of `seed`.
-pub fn play(seed: u64, exchange: Exchange) -> Outcome {
+/// Plays the day of `seed`, on which an endpoint crashes for another reason every `other_crashes_ms` milliseconds.
+pub fn play(seed: u64, exchange: Exchange, other_crashes_ms: u64) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let disturbances = (0..3)
         .map(|n| {
@@ -121,8 +121,7 @@
         if now_ms % REQUEST_INTERVAL_MS == 0 {
             day.send_request(now_ms);
         }
-        // A crash of another cause, now and then.
-        if now_ms % 7_000 == 6_999 {
+        if now_ms % other_crashes_ms == other_crashes_ms - 1 {
             let endpoint = day.rng.random_range(0..ENDPOINTS);
             day.crash(endpoint, now_ms);
         }
--- a/crates/core/tests/direct_crash_evidence.rs
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -112,6 +112,19 @@
     assert_eq!(names(&evidence), ["bad"]);
 }
 
+#[test]
+fn segment_in_a_crash_of_each_moment_is_found_amid_other_crashes() {
+    let mut evidence = CrashEvidence::default();
+    for n in 0..4_u64 {
+        assert!(names(&evidence).is_empty(), "after {n} moments");
+        let (at_ms, other) = (1_000 + 5_000 * n, format!("other-{n}"));
+        crash(&mut evidence, &format!("m-{n}"), &["bad"], at_ms);
+        crash(&mut evidence, &format!("x-{n}"), &[other.as_str()], at_ms + 100);
+        crash(&mut evidence, &format!("y-{n}"), &[], at_ms + 200);
+    }
+    assert_eq!(names(&evidence), ["bad"]);
+}
+
 #[test]
 fn request_whose_endpoint_crashed_is_not_repeated() {
     let mut evidence = CrashEvidence::default();
@@ -204,8 +217,9 @@
 #[rstest]
 fn crashing_segment_is_stopped_and_sound_requests_are_served(
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
+    #[values(7_000, 600)] other_crashes_ms: u64,
 ) {
-    let outcome = crash_days::play(seed, crash_days::Exchange::Datagrams);
+    let outcome = crash_days::play(seed, crash_days::Exchange::Datagrams, other_crashes_ms);
     assert!(outcome.crashes >= 2, "seed {seed}: {outcome:?}");
     assert!(outcome.late_crashing_requests <= 3, "seed {seed}: {outcome:?}");
     assert!(
@@ -216,6 +230,6 @@
 
 #[test]
 fn the_days_show_instances_that_learn_nothing_from_others() {
-    let is_broken = |seed| crash_days::play(seed, crash_days::Exchange::None).late_crashing_requests > 3;
+    let is_broken = |seed| crash_days::play(seed, crash_days::Exchange::None, 7_000).late_crashing_requests > 3;
     assert!((1..=20).any(is_broken));
 }
