Bound the length and number of segments that a request names

What would happen: a caller with a key fills a gateway's memory. The number of proofs that are kept is bounded, but callers choose the identifiers, which may be as long as a head: 4,096 of up to 16 KB.

Change: 32 segments of a request are considered, by their first 64 bytes.

Test: identifiers_that_callers_choose_take_bounded_space, new with the function that it tests. Identifiers that share their first 64 bytes count as one segment from now on.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -31,6 +31,10 @@
 const MAX_CRASHES: usize = 32;
 /// Upper bound of the number of suspected segments kept for each crash.
 const MAX_SUSPECTS: usize = 16;
+/// Number of segments of one request that are considered.
+const MAX_SEGMENTS: usize = 32;
+/// Length up to which identifiers of segments are told apart, in bytes.
+const MAX_SEGMENT_BYTES: usize = 64;
 /// Upper bound of the number of segments whose last proof is kept.
 const MAX_PROVED: usize = 4_096;
 
@@ -55,6 +59,19 @@
     suspicions: Vec<(Arc<str>, usize)>,
 }
 
+/// Returns the segments of a request by which crashes are judged, in bounded space. Callers choose the identifiers.
+pub fn bounded_segments(mut segments: Vec<Arc<str>>) -> Vec<Arc<str>> {
+    segments.truncate(MAX_SEGMENTS);
+    for segment in &mut segments {
+        if segment.len() > MAX_SEGMENT_BYTES {
+            let is_within = |(at, c): &(usize, char)| at + c.len_utf8() <= MAX_SEGMENT_BYTES;
+            let bounded: String = segment.char_indices().take_while(is_within).map(|(_, c)| c).collect();
+            *segment = Arc::from(bounded);
+        }
+    }
+    segments
+}
+
 /// Returns whether an answer proves that its segments are sound.
 pub fn is_proof(written_for: Duration, is_complete: bool) -> bool {
     is_complete || written_for >= SOUND_ANSWER_TIME
--- a/crates/core/tests/direct_crash_evidence.rs
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use sycamorestile_core::direct::crash_evidence::{CrashEvidence, is_proof};
+use sycamorestile_core::direct::crash_evidence::{CrashEvidence, bounded_segments, is_proof};
 use sycamorestile_core::direct::crash_facts::CrashFacts;
 use sycamorestile_core::time::Time;
 
@@ -196,6 +196,16 @@
     assert!(!is_quarantined(&evidence, "a"), "it was sound before the crashes");
 }
 
+#[test]
+fn identifiers_that_callers_choose_take_bounded_space() {
+    let long = "é".repeat(8_000);
+    let names: Vec<&str> = std::iter::repeat_n(long.as_str(), 2_000).collect();
+    let bounded = bounded_segments(segments(&names));
+    assert!(bounded.len() <= 32 && bounded.iter().all(|s| s.len() <= 64 && !s.is_empty()));
+    let short = segments(&["5c1e07a2", "91bd3f06"]);
+    assert_eq!(bounded_segments(short.clone()), short);
+}
+
 #[test]
 fn memory_is_bounded_and_keeps_what_supports_a_quarantine() {
     let mut evidence = CrashEvidence::default();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::info;
-use sycamorestile_core::direct::access;
+use sycamorestile_core::direct::{access, crash_evidence};
 use sycamorestile_core::problem;
 use sycamorestile_core::time::Time;
 use sycamorestile_table::boot_clock;
@@ -141,7 +141,10 @@
     let host_header = parts.headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let host = host_header.or(parts.uri.host()).unwrap_or_default().to_owned();
     let head = match (cx.header_adapter.read_call)(&parts.headers) {
-        Ok(head) => head,
+        Ok(head) => header_adapter::CallHead {
+            shared_segments: crash_evidence::bounded_segments(head.shared_segments),
+            ..head
+        },
         Err(error) => {
             discard_body(body);
             return Err(Refusal {
