Log and count repeats that the retry budget withholds

Now "retry budget is used up" names request, service, what was spent, the share and the number of instances that divide its fixed part, and withheld_repeats_total counts them.

--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -61,10 +61,20 @@
 
     /// Returns whether [`Self::try_spend`] would succeed now.
     pub fn can_spend(&mut self, now: time::Time, instances: usize) -> bool {
+        let share = self.share(now, instances);
+        ((self.retry_times.len() + 1) as f64) <= share
+    }
+
+    /// Returns the number of retries that this instance may send within the window that ends now.
+    pub fn share(&mut self, now: time::Time, instances: usize) -> f64 {
         self.evict_expired(now);
         let extra = self.limit.extra / instances.max(1) as f64;
-        let share = USABLE_SHARE * (self.limit.ratio * self.request_times.len() as f64 + extra);
-        ((self.retry_times.len() + 1) as f64) <= share
+        USABLE_SHARE * (self.limit.ratio * self.request_times.len() as f64 + extra)
+    }
+
+    /// Returns the number of retries that this instance sent within the window.
+    pub fn spent(&self) -> usize {
+        self.retry_times.len()
     }
 
     fn evict_expired(&mut self, now: time::Time) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     whole: Family<Labels, Histogram, fn() -> Histogram>,
     outcomes: Family<OutcomeLabels, Counter>,
     repeated_sends: Counter,
+    withheld_repeats: Counter,
     connects: Counter,
     crashes: Counter,
     quarantined: Gauge,
@@ -57,7 +58,8 @@
         let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         let whole = Family::new_with_constructor(histogram as fn() -> Histogram);
         let outcomes = Family::<OutcomeLabels, Counter>::default();
-        let (repeated_sends, connects, crashes) = (Counter::default(), Counter::default(), Counter::default());
+        let (repeated_sends, withheld_repeats) = (Counter::default(), Counter::default());
+        let (connects, crashes) = (Counter::default(), Counter::default());
         let quarantined = Gauge::default();
         registry.register(
             "first_byte_seconds",
@@ -71,6 +73,11 @@
             "Requests sent to another endpoint after a failed attempt",
             repeated_sends.clone(),
         );
+        registry.register(
+            "withheld_repeats",
+            "Requests not sent to another endpoint because the retry budget was used up",
+            withheld_repeats.clone(),
+        );
         registry.register("connects", "Connections opened to endpoints", connects.clone());
         registry.register(
             "endpoint_crashes",
@@ -88,6 +95,7 @@
             whole,
             outcomes,
             repeated_sends,
+            withheld_repeats,
             connects,
             crashes,
             quarantined,
@@ -121,6 +129,11 @@
         self.repeated_sends.inc();
     }
 
+    /// Counts a request that is not sent to another endpoint because the retry budget is used up.
+    pub(crate) fn record_withheld_repeat(&self) {
+        self.withheld_repeats.inc();
+    }
+
     /// Counts a connection that was opened to an endpoint.
     pub(crate) fn record_connect(&self) {
         self.connects.inc();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -126,9 +126,7 @@
         }
         attempts::NextAttempt::Send { repeat: false } => None,
         attempts::NextAttempt::Send { repeat: true } => {
-            let instances = instance_count(cx, now);
-            if cx.retry_shares.with(service, |share| share.try_spend(now, instances)) {
-                cx.metrics.record_repeated_send();
+            if spend_retry(cx, &req_cx.call, service, now) {
                 None
             } else {
                 Some(problem_kind(req_cx.attempts.failure_outcome()))
@@ -137,6 +135,24 @@
     }
 }
 
+/// Charges a repeated attempt of `call` to this instance's share of the retry budget of `service`. Returns `false` if the
+/// share is used up.
+fn spend_retry(cx: &context::GatewayContext, call: &handle::Call, service: &Arc<str>, now: time::Time) -> bool {
+    let instances = instance_count(cx, now);
+    cx.retry_shares.with(service, |share| {
+        let is_spent = share.try_spend(now, instances);
+        if is_spent {
+            cx.metrics.record_repeated_send();
+        } else {
+            cx.metrics.record_withheld_repeat();
+            info!(cx.log, "retry budget is used up";
+                "request" => call.id(), "service" => service.as_ref(), "spent" => share.spent(),
+                "share" => share.share(now, instances), "instances" => instances);
+        }
+        is_spent
+    })
+}
+
 /// Returns whether the request could be sent to another endpoint if the current attempt were abandoned.
 pub(crate) fn can_move(cx: &context::GatewayContext, req_cx: &RequestContext, service: &Arc<str>) -> bool {
     let now = boot_clock::now();
