Show that restarted instances overspend the retry budget together

A test in virtual time: 6, 8 or 47 instances, answers that get lost for spells, bursts of requests, and processes that are killed, often many at once. The retries of all instances are judged by the budget's own arithmetic, in windows that begin every 50 ms. So it is listed in KNOWN-RED.txt until the repair.

--- a/crates/core/tests/direct_retry_share.rs
+++ b/crates/core/tests/direct_retry_share.rs
@@ -1,5 +1,7 @@
 //! A retry budget that all instances share without coordination.
 
+mod retry_days;
+
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -60,3 +62,34 @@
     share.record_request(Time::from_millis(0));
     assert!(share.try_spend(Time::from_millis(1), 8));
 }
+
+fn retry_day(instances: usize) -> retry_days::Day {
+    retry_days::Day {
+        instances,
+        requests_per_second: 75.0,
+        restarts: false,
+    }
+}
+
+#[rstest]
+fn lost_answers_and_bursts_of_requests_stay_within_the_budget(
+    #[values(6, 8, 47)] instances: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let excess = retry_days::max_excess(&retry_day(instances), seed);
+    assert!(excess <= 0.0, "{excess} retries over the budget");
+}
+
+#[rstest]
+#[ignore = "known fault, see KNOWN-RED.txt"]
+fn restarted_instances_stay_within_the_retry_budget_together(
+    #[values(6, 8, 47)] instances: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let day = retry_days::Day {
+        restarts: true,
+        ..retry_day(instances)
+    };
+    let excess = retry_days::max_excess(&day, seed);
+    assert!(excess <= 0.0, "{excess} retries over the budget");
+}
