Use a smaller share of the retry budget for a window after a start

Cause: what an instance has spent of its share was kept in memory and forgotten when its process ended, and the next process began with a whole share. The class of fault is a limit over time whose account is lost with the process, while the time that it covers goes on.

Change: a process that started within the window uses 0.3 of its share, and of that the fixed part grows from nothing over the window. With the 0.7 that a process uses otherwise, an instance stays within its whole share even if its former process spent all at its end, however often it is killed.

Asking the others what the former process had spent: nobody knows it when all are killed at once, and a row of the table lags behind the last second, so the worst case has to be assumed anyway.

In an_instance_with_few_requests_can_still_retry the instance has now run for a while; how soon one that has just started can retry is a test of its own.

--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -3,6 +3,9 @@
 //! In any window, all instances together may send a service `ratio` retries per request plus `extra` retries. Each
 //! instance limits itself to `ratio` times its own requests plus an equal part of `extra`. The sum stays within the
 //! budget however requests are spread over the instances, and no coordination is needed.
+//!
+//! A process doesn't know what a former process of its instance has spent. For the length of a window after its start, it
+//! therefore uses a smaller part of its share, which is free even if the former one used all of its own at its end.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -22,11 +25,15 @@
 
 /// Part of the share that an instance uses, so that the budget also holds in windows that begin at other times.
 const USABLE_SHARE: f64 = 0.7;
+/// The same for a process that started within the window. Both parts together are the whole share.
+const USABLE_SHARE_AFTER_START: f64 = 0.3;
 
 /// Requests and retries of one service at one instance.
 #[derive(Debug, Clone)]
 pub struct RetryShare {
     limit: RetryLimit,
+    /// When the process started. What was spent before is not known.
+    started: time::Time,
     /// Arrival times of requests within the window, oldest first.
     request_times: VecDeque<time::Time>,
     /// Times of retries within the window, oldest first.
@@ -34,10 +41,11 @@
 }
 
 impl RetryShare {
-    /// Creates an unused share of the budget `limit`.
-    pub fn new(limit: RetryLimit) -> Self {
+    /// Creates the share of the budget `limit` that a process has which started at `started`.
+    pub fn new(limit: RetryLimit, started: time::Time) -> Self {
         Self {
             limit,
+            started,
             request_times: VecDeque::new(),
             retry_times: VecDeque::new(),
         }
@@ -68,8 +76,14 @@
     /// Returns the number of retries that this instance may send within the window that ends now.
     pub fn share(&mut self, now: time::Time, instances: usize) -> f64 {
         self.evict_expired(now);
+        let by_requests = self.limit.ratio * self.request_times.len() as f64;
         let extra = self.limit.extra / instances.max(1) as f64;
-        USABLE_SHARE * (self.limit.ratio * self.request_times.len() as f64 + extra)
+        let running = now.since(self.started).as_secs_f64() / self.limit.window.as_secs_f64();
+        if running < 1.0 {
+            USABLE_SHARE_AFTER_START * (by_requests + extra * running)
+        } else {
+            USABLE_SHARE * (by_requests + extra)
+        }
     }
 
     /// Returns the number of retries that this instance sent within the window.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -73,7 +73,7 @@
     let monitoring_listener = server::bind("monitoring", settings.monitoring)?;
     let (drain_tx, draining) = watch::channel(false);
     let peers_addr = settings.peers;
-    let retry_limit = settings.retry_limit;
+    let (retry_limit, started) = (settings.retry_limit, boot_clock::now());
     let instance = Arc::clone(&settings.instance);
     let cx = Rc::new(context::GatewayContext {
         settings,
@@ -81,7 +81,7 @@
         snapshots: control.snapshots,
         placement: RefCell::new(placement::Placement::default()),
         rate_limits: RefCell::new(rate_limits::RateLimits::new(instance)),
-        retry_shares: service_map::ServiceMap::new(move || retry_share::RetryShare::new(retry_limit)),
+        retry_shares: service_map::ServiceMap::new(move || retry_share::RetryShare::new(retry_limit, started)),
         outages: service_map::ServiceMap::new(outage::OutageDetector::default),
         pacings: service_map::ServiceMap::new(pacing::Pacing::default),
         crash_evidence: RefCell::default(),
