Count a request once towards the retry budget

Callers see nothing; endpoints could get several times the allowed repeats where kept connections are closed often.

Cause: a request was recorded whenever it was about to be sent and had not been sent before. If its connection turned out to be closed, nothing was sent, and it was recorded again with the next attempt, up to three times, each time raising the share by a fifth of a repeat.

Change: the state of the request's attempts says once that it counts.

Test: requests_sent_again_over_another_connection_do_not_raise_the_budget, instances in virtual time whose first connections are closed in 7 of 10 cases: up to 783 retries over the budget, 30 of 30 cases, with the former condition; none now.

--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -42,6 +42,8 @@
     may_have_run: bool,
     /// Whether an attempt has started whose result is not known yet.
     is_pending: bool,
+    /// Whether the request counts towards the retry budget already.
+    is_counted: bool,
 }
 
 impl RequestAttempts {
@@ -54,9 +56,16 @@
             failed_connects: 0,
             may_have_run: false,
             is_pending: false,
+            is_counted: false,
         }
     }
 
+    /// Returns `true` only in the first call, so that a request counts once towards the retry budget however many
+    /// connections it takes to send it.
+    pub fn count_request(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_counted, true)
+    }
+
     /// Records that an attempt starts, so that bytes of the request may be sent from now on.
     pub fn start(&mut self) {
         self.sent_count += 1;
--- a/crates/core/tests/direct_retry_share.rs
+++ b/crates/core/tests/direct_retry_share.rs
@@ -70,6 +70,7 @@
         instances,
         requests_per_second: 75.0,
         restarts: false,
+        closed_connections: false,
     }
 }
 
@@ -103,3 +104,17 @@
     let excess = retry_days::max_excess(&day, seed);
     assert!(excess <= 0.0, "{excess} retries over the budget");
 }
+
+#[rstest]
+fn requests_sent_again_over_another_connection_do_not_raise_the_budget(
+    #[values(6, 8, 47)] instances: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let day = retry_days::Day {
+        closed_connections: true,
+        requests_per_second: 300.0,
+        ..retry_day(instances)
+    };
+    let excess = retry_days::max_excess(&day, seed);
+    assert!(excess <= 0.0, "{excess} retries over the budget");
+}
--- a/crates/core/tests/retry_days/mod.rs
+++ b/crates/core/tests/retry_days/mod.rs
@@ -4,7 +4,9 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sycamorestile_core::direct::attempts::{NextAttempt, RequestAttempts};
 use sycamorestile_core::direct::retry_share::{RetryLimit, RetryShare};
+use sycamorestile_core::direct::route::RouteKind;
 use sycamorestile_core::time::Time;
 
 pub const LIMIT: RetryLimit = RetryLimit {
@@ -15,7 +17,7 @@
 const WINDOW_MS: u64 = 10_000;
 const END_MS: u64 = 60_000;
 /// Largest number of attempts of one request.
-const MAX_ATTEMPTS: usize = 3;
+const MAX_ATTEMPTS: u32 = 3;
 
 /// What happens on a day.
 #[derive(Debug, Clone)]
@@ -24,6 +26,8 @@
     pub requests_per_second: f64,
     /// Whether processes of instances are killed, often many at once.
     pub restarts: bool,
+    /// Whether the connection of a first attempt often turns out to be closed before the request is sent.
+    pub closed_connections: bool,
 }
 
 struct Instance {
@@ -80,11 +84,27 @@
         }
         let instance = &mut instances[rng.random_range(0..day.instances)];
         requests.push(now_ms);
-        instance.share.record_request(now);
-        if is_within(&losses, now_ms) {
-            let wanted = rng.random_range(1..MAX_ATTEMPTS);
-            let spent = (0..wanted).take_while(|_| instance.share.try_spend(now, day.instances));
-            retries.extend(spent.map(|_| now_ms));
+        let mut attempts = RequestAttempts::new(RouteKind::Safe, MAX_ATTEMPTS);
+        let mut next = NextAttempt::Send { repeat: false };
+        while let NextAttempt::Send { repeat } = next {
+            if attempts.count_request() {
+                instance.share.record_request(now);
+            }
+            if repeat && !instance.share.try_spend(now, day.instances) {
+                break;
+            }
+            attempts.start();
+            if day.closed_connections && !repeat && rng.random_bool(0.7) {
+                next = attempts.not_sent();
+                continue;
+            }
+            if repeat {
+                retries.push(now_ms);
+            }
+            if !is_within(&losses, now_ms) {
+                break;
+            }
+            next = attempts.lost();
         }
     }
     let windows = (0..END_MS).step_by(50);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -158,7 +158,7 @@
     if crash_watch::quarantine_remaining(cx, &req_cx.call).is_some() {
         return Err(problem::ProblemKind::SegmentQuarantined);
     }
-    if req_cx.attempts.sent_count() == 0 {
+    if req_cx.attempts.count_request() {
         cx.retry_shares
             .with(&endpoint.service, |share| share.record_request(now));
     }
