Take no fixed part of the retry budget before the instances are known

Callers see nothing; endpoints could get several times the allowed repeats just after many gateways have started.

Cause: the fixed part of the budget was divided by the instances that a gateway had heard of or read from the table so far, which is one for a process that has just started. Each took the whole fixed part.

Change: until the list of gateways has been read, a process uses nothing of the fixed part, only of the part that grows with its own requests. The list also tells whether the instance had a process before: a gateway writes its row after it has read the list. The first process of an instance need not fear a predecessor's spending and has its whole share at once.

--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -4,8 +4,9 @@
 //! instance limits itself to `ratio` times its own requests plus an equal part of `extra`. The sum stays within the
 //! budget however requests are spread over the instances, and no coordination is needed.
 //!
-//! A process doesn't know what a former process of its instance has spent. For the length of a window after its start, it
-//! therefore uses a smaller part of its share, which is free even if the former one used all of its own at its end.
+//! A process doesn't know what its predecessor, a former process of its instance, has spent. For the length of a window
+//! after its start, it therefore uses a smaller part of its share, which is free even if the predecessor used all of its
+//! own at its end.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -23,9 +24,18 @@
     pub window: Duration,
 }
 
+/// What an instance knows of the processes with which it shares a budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sharers {
+    /// Number of instances, including this one. `None` until they are known; nothing of the fixed part is used then.
+    pub instances: Option<usize>,
+    /// Whether this instance may have had another process before.
+    pub may_have_predecessor: bool,
+}
+
 /// Part of the share that an instance uses, so that the budget also holds in windows that begin at other times.
 const USABLE_SHARE: f64 = 0.7;
-/// The same for a process that started within the window. Both parts together are the whole share.
+/// The same for a process that started within the window and may have had a predecessor. Both parts together are the whole share.
 const USABLE_SHARE_AFTER_START: f64 = 0.3;
 
 /// Requests and retries of one service at one instance.
@@ -57,10 +67,10 @@
         self.request_times.push_back(now);
     }
 
-    /// Takes one retry from this instance's share of a budget that `instances` instances use. Returns `false` if the
-    /// share is used up.
-    pub fn try_spend(&mut self, now: time::Time, instances: usize) -> bool {
-        let is_within_share = self.can_spend(now, instances);
+    /// Takes one retry from this instance's share of a budget that `sharers` use. Returns `false` if the share is used
+    /// up.
+    pub fn try_spend(&mut self, now: time::Time, sharers: Sharers) -> bool {
+        let is_within_share = self.can_spend(now, sharers);
         if is_within_share {
             self.retry_times.push_back(now);
         }
@@ -68,18 +78,18 @@
     }
 
     /// Returns whether [`Self::try_spend`] would succeed now.
-    pub fn can_spend(&mut self, now: time::Time, instances: usize) -> bool {
-        let share = self.share(now, instances);
+    pub fn can_spend(&mut self, now: time::Time, sharers: Sharers) -> bool {
+        let share = self.share(now, sharers);
         ((self.retry_times.len() + 1) as f64) <= share
     }
 
     /// Returns the number of retries that this instance may send within the window that ends now.
-    pub fn share(&mut self, now: time::Time, instances: usize) -> f64 {
+    pub fn share(&mut self, now: time::Time, sharers: Sharers) -> f64 {
         self.evict_expired(now);
         let by_requests = self.limit.ratio * self.request_times.len() as f64;
-        let extra = self.limit.extra / instances.max(1) as f64;
+        let extra = sharers.instances.map_or(0.0, |n| self.limit.extra / n.max(1) as f64);
         let running = now.since(self.started).as_secs_f64() / self.limit.window.as_secs_f64();
-        if running < 1.0 {
+        if sharers.may_have_predecessor && running < 1.0 {
             USABLE_SHARE_AFTER_START * (by_requests + extra * running)
         } else {
             USABLE_SHARE * (by_requests + extra)
--- a/crates/core/tests/direct_retry_share.rs
+++ b/crates/core/tests/direct_retry_share.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use sycamorestile_core::direct::retry_share::{RetryLimit, RetryShare};
+use sycamorestile_core::direct::retry_share::{RetryLimit, RetryShare, Sharers};
 use sycamorestile_core::time::Time;
 
 const LIMIT: RetryLimit = RetryLimit {
@@ -16,6 +16,14 @@
     window: Duration::from_secs(10),
 };
 
+/// Returns the sharers of a restarted instance that knows `instances`.
+fn running(instances: usize) -> Sharers {
+    Sharers {
+        instances: Some(instances),
+        may_have_predecessor: true,
+    }
+}
+
 /// Simulates 30 s in which every request is retried if the budget allows it. Three quarters of the requests go to one
 /// instance, the others to random instances. Returns the largest excess of retries over the budget in any window.
 fn max_excess(instances: usize, per_s: f64, seed: u64) -> f64 {
@@ -34,7 +42,7 @@
             };
             shares[at].record_request(now);
             requests.push(ms);
-            if shares[at].try_spend(now, instances) {
+            if shares[at].try_spend(now, running(instances)) {
                 retries.push(ms);
             }
         }
@@ -62,7 +70,7 @@
 fn an_instance_with_few_requests_can_still_retry() {
     let mut share = RetryShare::new(LIMIT, Time::from_millis(0));
     share.record_request(Time::from_millis(20_000));
-    assert!(share.try_spend(Time::from_millis(20_001), 8));
+    assert!(share.try_spend(Time::from_millis(20_001), running(8)));
 }
 
 fn retry_day(instances: usize) -> retry_days::Day {
@@ -71,6 +79,8 @@
         requests_per_second: 75.0,
         restarts: false,
         closed_connections: false,
+        list_delay_ms: 100,
+        silent_links: false,
     }
 }
 
@@ -89,7 +99,7 @@
     for ms in (0..3_000).step_by(100) {
         share.record_request(Time::from_millis(ms));
     }
-    assert!(share.try_spend(Time::from_millis(3_000), 8));
+    assert!(share.try_spend(Time::from_millis(3_000), running(8)));
 }
 
 #[rstest]
@@ -118,3 +128,44 @@
     let excess = retry_days::max_excess(&day, seed);
     assert!(excess <= 0.0, "{excess} retries over the budget");
 }
+
+#[rstest]
+fn instances_that_do_not_know_the_others_yet_stay_within_the_budget(
+    #[values(6, 8, 47)] instances: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let day = retry_days::Day {
+        restarts: true,
+        list_delay_ms: 4_000,
+        ..retry_day(instances)
+    };
+    let excess = retry_days::max_excess(&day, seed);
+    assert!(excess <= 0.0, "{excess} retries over the budget");
+}
+
+#[test]
+fn first_process_of_an_instance_has_its_whole_share() {
+    let mut share = RetryShare::new(LIMIT, Time::from_millis(0));
+    let first = Sharers {
+        may_have_predecessor: false,
+        ..running(8)
+    };
+    let now = Time::from_millis(500);
+    share.record_request(now);
+    assert!((0..8).all(|_| share.try_spend(now, first)));
+    assert!(!share.can_spend(now, running(8)));
+}
+
+#[rstest]
+fn retries_held_back_by_silent_links_stay_within_the_budget(
+    #[values(6, 8, 47)] instances: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let day = retry_days::Day {
+        restarts: true,
+        silent_links: true,
+        ..retry_day(instances)
+    };
+    let excess = retry_days::max_excess(&day, seed);
+    assert!(excess <= 0.0, "{excess} retries over the budget");
+}
--- a/crates/core/tests/retry_days/mod.rs
+++ b/crates/core/tests/retry_days/mod.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sycamorestile_core::direct::attempts::{NextAttempt, RequestAttempts};
-use sycamorestile_core::direct::retry_share::{RetryLimit, RetryShare};
+use sycamorestile_core::direct::retry_share::{RetryLimit, RetryShare, Sharers};
 use sycamorestile_core::direct::route::RouteKind;
 use sycamorestile_core::time::Time;
 
@@ -16,6 +16,8 @@
 };
 const WINDOW_MS: u64 = 10_000;
 const END_MS: u64 = 60_000;
+/// Longest time for which a link holds back what was sent.
+const MAX_SILENCE_MS: u64 = 3_000;
 /// Largest number of attempts of one request.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -28,16 +30,30 @@
     pub restarts: bool,
     /// Whether the connection of a first attempt often turns out to be closed before the request is sent.
     pub closed_connections: bool,
+    /// Time after a start until a process knows the other instances.
+    pub list_delay_ms: u64,
+    /// Whether the links of some instances hold back what they send, for as long as a connection may be silent.
+    pub silent_links: bool,
 }
 
 struct Instance {
     share: RetryShare,
+    started_ms: u64,
 }
 
 impl Instance {
     fn started_at(now_ms: u64) -> Self {
         Self {
             share: RetryShare::new(LIMIT, Time::from_millis(now_ms)),
+            started_ms: now_ms,
+        }
+    }
+
+    fn sharers(&self, day: &Day, now_ms: u64) -> Sharers {
+        let is_known = now_ms >= self.started_ms + day.list_delay_ms;
+        Sharers {
+            instances: is_known.then_some(day.instances),
+            may_have_predecessor: self.started_ms > 0,
         }
     }
 }
@@ -67,6 +83,11 @@
     let kills: Vec<(u64, f64)> = (0..8)
         .map(|_| (rng.random_range(0..END_MS), rng.random_range(0.2..1.6)))
         .collect();
+    let silences: Vec<(usize, Span)> = random_spans(&mut rng, 16, MAX_SILENCE_MS)
+        .into_iter()
+        .filter(|_| day.silent_links)
+        .map(|span| (rng.random_range(0..day.instances), span))
+        .collect();
     let mut instances: Vec<Instance> = (0..day.instances).map(|_| Instance::started_at(0)).collect();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for now_ms in 0..END_MS {
@@ -82,15 +103,21 @@
         if !rng.random_bool((factor * day.requests_per_second / 1_000.0).min(1.0)) {
             continue;
         }
-        let instance = &mut instances[rng.random_range(0..day.instances)];
+        let index = rng.random_range(0..day.instances);
+        let instance = &mut instances[index];
+        let silence = silences
+            .iter()
+            .filter(|(at, span)| *at == index && is_within(&[*span], now_ms));
+        let arrives_ms = silence.map(|(_, (_, to))| *to).max().unwrap_or(now_ms);
         requests.push(now_ms);
         let mut attempts = RequestAttempts::new(RouteKind::Safe, MAX_ATTEMPTS);
+        let sharers = instance.sharers(day, now_ms);
         let mut next = NextAttempt::Send { repeat: false };
         while let NextAttempt::Send { repeat } = next {
             if attempts.count_request() {
                 instance.share.record_request(now);
             }
-            if repeat && !instance.share.try_spend(now, day.instances) {
+            if repeat && !instance.share.try_spend(now, sharers) {
                 break;
             }
             attempts.start();
@@ -99,7 +126,7 @@
                 continue;
             }
             if repeat {
-                retries.push(now_ms);
+                retries.push(arrives_ms);
             }
             if !is_within(&losses, now_ms) {
                 break;
@@ -107,6 +134,7 @@
             next = attempts.lost();
         }
     }
+    retries.sort_unstable();
     let windows = (0..END_MS).step_by(50);
     windows
         .map(|begin| excess(&requests, &retries, begin))
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,7 +7,7 @@
 
 use http::Response;
 use slog::info;
-use sycamorestile_core::direct::{attempts, endpoint};
+use sycamorestile_core::direct::{attempts, endpoint, retry_share};
 use sycamorestile_core::problem;
 use sycamorestile_core::time;
 use sycamorestile_table::boot_clock;
@@ -138,16 +138,17 @@
 /// Charges a repeated attempt of `call` to this instance's share of the retry budget of `service`. Returns `false` if the
 /// share is used up.
 fn spend_retry(cx: &context::GatewayContext, call: &handle::Call, service: &Arc<str>, now: time::Time) -> bool {
-    let instances = instance_count(cx, now);
+    let sharers = sharers(cx, now);
     cx.retry_shares.with(service, |share| {
-        let is_spent = share.try_spend(now, instances);
+        let is_spent = share.try_spend(now, sharers);
         if is_spent {
             cx.metrics.record_repeated_send();
         } else {
             cx.metrics.record_withheld_repeat();
             info!(cx.log, "retry budget is used up";
                 "request" => call.id(), "service" => service.as_ref(), "spent" => share.spent(),
-                "share" => share.share(now, instances), "instances" => instances);
+                "share" => share.share(now, sharers), "instances" => sharers.instances,
+                "may_have_predecessor" => sharers.may_have_predecessor);
         }
         is_spent
     })
@@ -159,14 +160,19 @@
     let snapshot = cx.snapshot();
     let allowed = cx.allowed_endpoints(&snapshot, service, now);
     let has_other = cx.placement.borrow().has_usable(&allowed, &req_cx.tried, now);
-    let instances = instance_count(cx, now);
-    has_other && req_cx.attempts.may_abandon() && cx.retry_shares.with(service, |share| share.can_spend(now, instances))
+    let sharers = sharers(cx, now);
+    has_other && req_cx.attempts.may_abandon() && cx.retry_shares.with(service, |share| share.can_spend(now, sharers))
 }
 
-/// Returns the number of instances that share the retry budget.
-fn instance_count(cx: &context::GatewayContext, now: time::Time) -> usize {
-    let live = cx.placement.borrow().live_peers(now) + 1;
-    live.max(cx.snapshot().gateways.len())
+/// Returns what is known of the instances that share the retry budget.
+fn sharers(cx: &context::GatewayContext, now: time::Time) -> retry_share::Sharers {
+    let snapshot = cx.snapshot();
+    let listed_others = snapshot.gateways.iter().filter(|g| g.instance != cx.settings.instance);
+    let others = listed_others.count().max(cx.placement.borrow().live_peers(now));
+    retry_share::Sharers {
+        instances: snapshot.gateways_known.then_some(others + 1),
+        may_have_predecessor: !snapshot.is_first_process,
+    }
 }
 
 /// Returns the response to a request whose attempts gave no response to forward.
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -19,6 +19,10 @@
     pub(crate) endpoints_known: bool,
     /// The addresses that the gateways wrote to the table, including this one.
     pub(crate) gateways: Arc<Vec<GatewayAddr>>,
+    /// Whether the gateways were read at least once.
+    pub(crate) gateways_known: bool,
+    /// Whether the table proves that this instance had no process before this one.
+    pub(crate) is_first_process: bool,
 }
 
 /// The address of a gateway.
