Count retries for as long as a silent link may hold them back

Callers see nothing; the endpoints of a service behind one silent link could get the retries of two windows at once.

Cause: a retry counted against the share for one window after it was sent. What a silent link holds back arrives when the link is back, together with retries that were sent after the former ones had left the window.

Change: retries count for the window and the longest silence, three seconds, after which a connection with unacknowledged data is closed. The pool's time-out and this bound are one constant now.

Test: retries_held_back_by_silent_links_stay_within_the_budget.

--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -5,8 +5,8 @@
 //! budget however requests are spread over the instances, and no coordination is needed.
 //!
 //! A process doesn't know what its predecessor, a former process of its instance, has spent. For the length of a window
-//! after its start, it therefore uses a smaller part of its share, which is free even if the predecessor used all of its
-//! own at its end.
+//! and a silence after its start, it therefore uses a smaller part of its share, which is free even if the predecessor used
+//! all of its own at its end.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -38,6 +38,9 @@
 /// The same for a process that started within the window and may have had a predecessor. Both parts together are the whole share.
 const USABLE_SHARE_AFTER_START: f64 = 0.3;
 
+/// Longest time for which a silent link holds back what was sent. Connections with unacknowledged data are closed then.
+pub const MAX_SILENCE: Duration = Duration::from_secs(3);
+
 /// Requests and retries of one service at one instance.
 #[derive(Debug, Clone)]
 pub struct RetryShare {
@@ -46,7 +49,7 @@
     started: time::Time,
     /// Arrival times of requests within the window, oldest first.
     request_times: VecDeque<time::Time>,
-    /// Times of retries within the window, oldest first.
+    /// Times of the retries that may arrive at an endpoint within one window, oldest first.
     retry_times: VecDeque<time::Time>,
 }
 
@@ -83,12 +86,12 @@
         ((self.retry_times.len() + 1) as f64) <= share
     }
 
-    /// Returns the number of retries that this instance may send within the window that ends now.
+    /// Returns the number of retries that this instance may have sent within a window and a silence that end now.
     pub fn share(&mut self, now: time::Time, sharers: Sharers) -> f64 {
         self.evict_expired(now);
         let by_requests = self.limit.ratio * self.request_times.len() as f64;
         let extra = sharers.instances.map_or(0.0, |n| self.limit.extra / n.max(1) as f64);
-        let running = now.since(self.started).as_secs_f64() / self.limit.window.as_secs_f64();
+        let running = now.since(self.started).as_secs_f64() / self.retry_memory().as_secs_f64();
         if sharers.may_have_predecessor && running < 1.0 {
             USABLE_SHARE_AFTER_START * (by_requests + extra * running)
         } else {
@@ -96,16 +99,25 @@
         }
     }
 
-    /// Returns the number of retries that this instance sent within the window.
+    /// Returns the number of retries that this instance has sent within that time.
     pub fn spent(&self) -> usize {
         self.retry_times.len()
     }
 
     fn evict_expired(&mut self, now: time::Time) {
-        for times in [&mut self.request_times, &mut self.retry_times] {
-            while times.front().is_some_and(|t| now.since(*t) > self.limit.window) {
+        let retry_memory = self.retry_memory();
+        for (times, memory) in [
+            (&mut self.request_times, self.limit.window),
+            (&mut self.retry_times, retry_memory),
+        ] {
+            while times.front().is_some_and(|t| now.since(*t) > memory) {
                 times.pop_front();
             }
         }
     }
+
+    /// Returns how long retries count. Those that a link has held back arrive together with later ones.
+    fn retry_memory(&self) -> Duration {
+        self.limit.window + MAX_SILENCE
+    }
 }
--- a/crates/core/tests/direct_retry_share.rs
+++ b/crates/core/tests/direct_retry_share.rs
@@ -158,11 +158,12 @@
 
 #[rstest]
 fn retries_held_back_by_silent_links_stay_within_the_budget(
-    #[values(6, 8, 47)] instances: usize,
+    #[values(1, 2, 8, 47)] instances: usize,
+    #[values(false, true)] restarts: bool,
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
 ) {
     let day = retry_days::Day {
-        restarts: true,
+        restarts,
         silent_links: true,
         ..retry_day(instances)
     };
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -11,7 +11,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use sycamorestile_core::direct::endpoint;
+use sycamorestile_core::direct::{endpoint, retry_share};
 use sycamorestile_core::time;
 use sycamorestile_table::boot_clock;
 use thiserror::Error;
@@ -31,7 +31,7 @@
 /// The longest idle time after which a connection is still used for requests that must not be repeated.
 const MAX_RECENT_IDLE: Duration = Duration::from_millis(60);
 /// The time after which a connection with unacknowledged data is closed.
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
+const USER_TIMEOUT: Duration = retry_share::MAX_SILENCE;
 
 /// The reason why there is no connection. No part of the request was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
