Charge a repeat to the budget of the service that gets it

Callers see nothing; on routes that split their traffic, a service could get more repeats than its budget allows.

Cause: a repeat was charged to the first service of the route before its target was chosen, and could go to another one.

Change: the attempt is counted when its endpoint is chosen, as a request or as a repeat, towards the budget of that endpoint's service, and before a connection is opened for it.

And a request whose repeat the budget withholds now ends with the reason "answer-lost" or "no-endpoint" in its line, and why its last attempt failed stands in `last`, as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -122,6 +122,8 @@
             problem::ProblemKind::NoEndpoint
         }
     })?;
+    // Before a connection is opened, which would be for nothing if the budget allows no repeat.
+    request::count_attempt(cx, req_cx, &endpoint.service)?;
     cx.rate_limits.borrow_mut().spend(&endpoint.id, now);
     cx.placement.borrow_mut().attempt_started(&endpoint.id);
     let slot = request::EndpointSlot {
@@ -158,10 +160,6 @@
     if crash_watch::quarantine_remaining(cx, &req_cx.call).is_some() {
         return Err(problem::ProblemKind::SegmentQuarantined);
     }
-    if req_cx.attempts.count_request() {
-        cx.retry_shares
-            .with(&endpoint.service, |share| share.record_request(now));
-    }
     send_request(cx, req_cx, lease, slot, &grant, last_event_id).await
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -94,17 +94,11 @@
 
 /// Returns the problem to report if no further attempt may be made, or `None` if the attempt that `next` allows may be
 /// made.
-///
-/// A repeated attempt is charged to the retry budget.
 pub(crate) fn stop_reason(
     cx: &context::GatewayContext,
     req_cx: &RequestContext,
     next: attempts::NextAttempt,
 ) -> Option<problem::ProblemKind> {
-    let problem_kind = |outcome| match outcome {
-        attempts::FailureOutcome::NotRun => problem::ProblemKind::NoEndpoint,
-        attempts::FailureOutcome::Unknown => problem::ProblemKind::AnswerLost,
-    };
     let is_stream = req_cx.call.grant.route.kind.is_stream();
     let service = &req_cx.call.grant.route.targets.first()?.service;
     let now = boot_clock::now();
@@ -124,14 +118,36 @@
         {
             Some(problem_kind(req_cx.attempts.failure_outcome()))
         }
-        attempts::NextAttempt::Send { repeat: false } => None,
-        attempts::NextAttempt::Send { repeat: true } => {
-            if spend_retry(cx, &req_cx.call, service, now) {
-                None
-            } else {
-                Some(problem_kind(req_cx.attempts.failure_outcome()))
-            }
-        }
+        attempts::NextAttempt::Send { .. } => None,
+    }
+}
+
+fn problem_kind(outcome: attempts::FailureOutcome) -> problem::ProblemKind {
+    match outcome {
+        attempts::FailureOutcome::NotRun => problem::ProblemKind::NoEndpoint,
+        attempts::FailureOutcome::Unknown => problem::ProblemKind::AnswerLost,
+    }
+}
+
+/// Counts an attempt at an endpoint of `service` towards its retry budget: the first one as a request, and one after a
+/// request was sent as a repeat.
+///
+/// # Errors
+///
+/// Returns the problem to report if the budget allows no repeat.
+pub(crate) fn count_attempt(
+    cx: &context::GatewayContext,
+    req_cx: &mut RequestContext,
+    service: &Arc<str>,
+) -> Result<(), problem::ProblemKind> {
+    let now = boot_clock::now();
+    if req_cx.attempts.count_request() {
+        cx.retry_shares.with(service, |share| share.record_request(now));
+    }
+    if req_cx.attempts.sent_count() == 0 || spend_retry(cx, &req_cx.call, service, now) {
+        Ok(())
+    } else {
+        Err(problem_kind(req_cx.attempts.failure_outcome()))
     }
 }
 
