Tell crashes under plain requests, and name the content of requests in logs

Now each failed attempt names an identifier of the request's content (organisation, method, host, path, query, body), and a broken response of any kind is examined for a crash of its endpoint, also where the body breaks off. What is decided stays as it was: only crashes under requests with segments are evidence.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -35,6 +35,7 @@
 pub mod quarantine;
 mod rate_limit;
 pub mod rate_limits;
+pub mod request_content;
 pub mod response_class;
 pub mod response_time;
 pub mod retry_share;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -338,11 +338,15 @@
             let ends_with_connection = ends_with_connection(&parts.headers, &body);
             let Some(bytes) = read_body(cx, req_cx, body).await else {
                 cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
-                return Ok(failed(req_cx.attempts.lost(), "answer broke off"));
+                let next = req_cx.attempts.lost();
+                crash_watch::examine_broken_response(cx, req_cx, &slot.endpoint, Duration::ZERO).await;
+                return Ok(failed(next, "answer broke off"));
             };
             if ends_with_connection && pool::Pool::refuses_connections(&slot.endpoint).await {
                 cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
-                return Ok(failed(req_cx.attempts.lost(), "endpoint crashed"));
+                let next = req_cx.attempts.lost();
+                crash_watch::examine_broken_response(cx, req_cx, &slot.endpoint, Duration::ZERO).await;
+                return Ok(failed(next, "endpoint crashed"));
             }
             release_connection(lease, &parts.headers, &head);
             if class == response_class::ResponseClass::Response {
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -24,22 +24,20 @@
 ) {
     let call = &req_cx.call;
     let segments = &call.head.shared_segments;
-    if segments.is_empty() || crash_evidence::is_proof(written_for, false) {
-        return;
-    }
-    if !pool::Pool::refuses_connections(endpoint).await {
+    if crash_evidence::is_proof(written_for, false) || !pool::Pool::refuses_connections(endpoint).await {
         return;
     }
     let now = boot_clock::now();
-    let is_news = update(cx, |evidence| evidence.record_crash(&endpoint.id, segments, now));
+    let is_news = !segments.is_empty() && update(cx, |evidence| evidence.record_crash(&endpoint.id, segments, now));
     info!(cx.log, "endpoint crashed at the beginning of a response";
         "request" => call.id(), "endpoint" => endpoint.id.as_ref(), "segments" => segments.join(","),
+        "content" => call.content.as_ref(),
         "written_ms" => written_for.as_millis() as u64, "news" => is_news);
     if is_news {
         cx.metrics.record_crash();
         cx.fact_news.notify_one();
     }
-    req_cx.endpoint_crashed = true;
+    req_cx.endpoint_crashed = !segments.is_empty();
 }
 
 /// Records that a response, or the part of it that was written so far, proves the segments of `call` sound.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::info;
-use sycamorestile_core::direct::{access, crash_evidence};
+use sycamorestile_core::direct::{access, crash_evidence, request_content};
 use sycamorestile_core::problem;
 use sycamorestile_core::time::Time;
 use sycamorestile_table::boot_clock;
@@ -43,6 +43,8 @@
     pub(crate) host: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Identifies the request by its content.
+    pub(crate) content: Arc<str>,
     pub(crate) started: Time,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: Time,
@@ -189,7 +191,15 @@
         return Err(refusal(problem::ProblemKind::BodyTooLarge));
     }
     let body = read_body(body, limit, timeout).await.map_err(refusal)?;
+    let content = request_content::RequestContent {
+        organisation: grant.organisation.as_ref().map(|o| o.name.as_ref()),
+        method: parts.method.as_str(),
+        host: &host,
+        target: &target,
+        body: &body,
+    };
     Ok(Call {
+        content: content.identifier(),
         head,
         grant,
         method: parts.method,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -87,7 +87,7 @@
         info!(cx.log, "attempt failed";
             "request" => self.call.id(), "endpoint" => endpoint, "why" => why, "next" => format!("{next:?}"),
             "sent" => self.attempts.sent_count(), "segments" => self.call.head.shared_segments.join(","),
-            "under_way" => endpoint.map(|id| cx.placement.borrow().in_flight(id, now)),
+            "content" => self.call.content.as_ref(), "under_way" => endpoint.map(|id| cx.placement.borrow().in_flight(id, now)),
             "ms" => now.since(self.call.started).as_millis() as u64);
     }
 }
