Quarantine requests that crash the endpoints which run them

Callers of a plain service saw refusals and 502 for a quarter of a minute at a time: all endpoints of the ledger ended under one request, again and again.

A gateway took the broken response for a failure of the endpoint alone, sent the request to the next one, and told nobody.

Load after a restart is ruled out: the endpoints had up to three requests in flight, and ended also minutes after their start. Our repetition multiplied it and can't have started it: endpoints also ended under a first attempt.

Change: a request is known by the hash of its organisation, method, host, path, query, prompt and body. A crash of an endpoint is evidence against the contents of all requests that it ran; two crashes convict one that was never answered, four one that was. The verdict is the same pure function as for segments, from facts that gateways exchange by datagrams and rows. Crashes count one by one here: a request is at one endpoint at a time, so that it was sent again after the first crash. What a quarantined segment explains isn't held against the requests that were there. A request whose endpoint crashed is repeated once, if the route allows it, which convicts or clears it: a sound one that was at a crashed endpoint is served.

The prompt belongs to the content, since a stream's body alone may be the same for all (a test of the segments' quarantine failed without it).

Why it works: the second crash quarantines the request where it was seen, and the facts reach the others within a few rounds of 0.2 s. Memory is bounded by the limits of the evidence, 32 crashes with 16 suspects and 4,096 proofs.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -8,6 +8,9 @@
 //! written for a while, or to its end, proves that all its segments are sound. The segment that explains crashes at the
 //! most moments is quarantined, and what it explains no longer counts against others. Instances exchange
 //! [`crash_facts::CrashFacts`], and reach the same verdict from the same facts.
+//!
+//! The same evidence finds a request that crashes every endpoint which runs it, and that comes again with the same content
+//! at any instance. Its suspects are the contents of requests instead of segments, see [`CrashEvidence::of_requests`].
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,8 +26,11 @@
 /// The same for a segment that was proved sound before the crashes, or that most endpoints which crashed at the same
 /// moments did not have.
 const MIN_WEAK_MOMENTS: usize = 4;
-/// Period within which crashes belong to one moment. They may have one cause and are not independent evidence.
-const MOMENT: Duration = Duration::from_millis(500);
+/// Period within which crashes belong to one moment if the suspects are segments. They may have one cause and are not
+/// independent evidence.
+const SEGMENTS_MOMENT: Duration = Duration::from_millis(500);
+/// The same for requests. A request is at one endpoint at a time, so that it was sent again after the first crash.
+const REQUESTS_MOMENT: Duration = Duration::ZERO;
 /// Age at which crashes and proofs are forgotten. A quarantine ends by this.
 const MEMORY: Duration = Duration::from_secs(600);
 /// Upper bound of the number of crashes kept.
@@ -42,8 +48,10 @@
 type Proof = (Arc<str>, time::Time);
 
 /// All evidence of crashes that an instance has, and the verdict that follows from it.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct CrashEvidence {
+    /// Period within which crashes belong to one moment.
+    moment: Duration,
     /// At most [`MAX_CRASHES`], with [`MAX_SUSPECTS`] each.
     crashes: Vec<crash::Crash>,
     /// Number of reports of this instance that were news to it.
@@ -52,7 +60,9 @@
     own_proofs: Vec<Proof>,
     /// Proofs that others have seen, sorted by segment; only of suspected segments.
     told_proofs: Vec<Proof>,
-    /// Sorted by segment.
+    /// Endpoints whose crashes something else explains, sorted.
+    explained: Vec<Arc<str>>,
+    /// Sorted by suspect.
     quarantined: Vec<quarantine::Quarantine>,
     /// Number of moments at which each segment may have caused a crash that no quarantined one explains, sorted by
     /// segment.
@@ -77,7 +87,32 @@
     is_complete || written_for >= SOUND_ANSWER_TIME
 }
 
+impl Default for CrashEvidence {
+    /// Creates evidence against segments of prompts.
+    fn default() -> Self {
+        Self::with_moment(SEGMENTS_MOMENT)
+    }
+}
+
 impl CrashEvidence {
+    /// Creates evidence against the contents of requests.
+    pub fn of_requests() -> Self {
+        Self::with_moment(REQUESTS_MOMENT)
+    }
+
+    fn with_moment(moment: Duration) -> Self {
+        Self {
+            moment,
+            crashes: Vec::new(),
+            own_reports: 0,
+            own_proofs: Vec::new(),
+            told_proofs: Vec::new(),
+            explained: Vec::new(),
+            quarantined: Vec::new(),
+            suspicions: Vec::new(),
+        }
+    }
+
     /// Records that an answer proved `segments` sound.
     pub fn record_proof(&mut self, segments: &[Arc<str>], now: time::Time) {
         let now = shifted(now);
@@ -103,7 +138,7 @@
 
     /// Returns the quarantined segment among `segments`.
     pub fn quarantined(&self, segments: &[Arc<str>]) -> Option<&quarantine::Quarantine> {
-        let found = |s: &Arc<str>| self.quarantined.binary_search_by(|q| q.segment.cmp(s)).ok();
+        let found = |s: &Arc<str>| self.quarantined.binary_search_by(|q| q.suspect.cmp(s)).ok();
         segments.iter().find_map(found).map(|at| &self.quarantined[at])
     }
 
@@ -117,13 +152,29 @@
         &self.quarantined
     }
 
+    /// Returns the endpoints whose crashes the quarantined segments explain, sorted.
+    pub fn explained_endpoints(&self) -> Vec<Arc<str>> {
+        let crashes = self.crashes.iter().filter(|c| self.is_explained(c));
+        let mut endpoints: Vec<Arc<str>> = crashes.map(|c| Arc::clone(&c.endpoint)).collect();
+        endpoints.sort_unstable();
+        endpoints
+    }
+
+    /// Sets the endpoints whose crashes something else explains, sorted, and judges again.
+    pub fn set_explained(&mut self, endpoints: Vec<Arc<str>>, now: time::Time) {
+        if self.explained != endpoints {
+            self.explained = endpoints;
+            self.judge(shifted(now));
+        }
+    }
+
     /// Returns whether a request whose answer broke off may be sent to another endpoint, although one of its `segments`
     /// may have crashed the former one.
     pub fn allows_repeat(&self, segments: &[Arc<str>]) -> bool {
         segments.iter().all(|segment| {
             let at = self.suspicions.binary_search_by(|(s, _)| s.cmp(segment));
             let moments = at.map_or(0, |at| self.suspicions[at].1);
-            let is_quarantined = self.quarantined.binary_search_by(|q| q.segment.cmp(segment)).is_ok();
+            let is_quarantined = self.quarantined.binary_search_by(|q| q.suspect.cmp(segment)).is_ok();
             // One moment less than a quarantine takes.
             !is_quarantined && moments + 1 < self.min_moments(segment)
         })
@@ -227,16 +278,21 @@
         if self.crashes.len() < MAX_CRASHES {
             return;
         }
-        let is_support = |c: &crash::Crash| self.quarantined.iter().any(|q| c.suspects.contains(&q.segment));
-        let oldest = (0..self.crashes.len()).min_by_key(|&i| (is_support(&self.crashes[i]), self.crashes[i].at));
+        let oldest = (0..self.crashes.len()).min_by_key(|&i| (self.is_explained(&self.crashes[i]), self.crashes[i].at));
         if let Some(index) = oldest {
             self.crashes.remove(index);
         }
     }
 
-    /// Determines the quarantined segments.
+    /// Returns whether a quarantined suspect explains `crash`.
+    fn is_explained(&self, crash: &crash::Crash) -> bool {
+        self.quarantined.iter().any(|q| crash.suspects.contains(&q.suspect))
+    }
+
+    /// Determines what is quarantined.
     fn judge(&mut self, now: time::Time) {
-        let mut unexplained: Vec<&crash::Crash> = self.crashes.iter().filter(|c| now.since(c.at) < MEMORY).collect();
+        let counts = |c: &&crash::Crash| now.since(c.at) < MEMORY && self.explained.binary_search(&c.endpoint).is_err();
+        let mut unexplained: Vec<&crash::Crash> = self.crashes.iter().filter(counts).collect();
         unexplained.sort_unstable_by_key(|c| c.at);
         let mut quarantined = Vec::new();
         loop {
@@ -252,12 +308,12 @@
                 tallies.iter().filter(is_guilty).filter(|t| rank(t) == worst).collect();
             unexplained.retain(|c| !guilty.iter().any(|t| c.suspects.contains(&t.segment)));
             quarantined.extend(guilty.into_iter().map(|t| quarantine::Quarantine {
-                segment: Arc::clone(&t.segment),
+                suspect: Arc::clone(&t.segment),
                 crashes: t.crashes,
                 until: self.last_decisive(t).unwrap_or_default() + MEMORY,
             }));
         }
-        quarantined.sort_by(|a, b| a.segment.cmp(&b.segment));
+        quarantined.sort_by(|a, b| a.suspect.cmp(&b.suspect));
         self.quarantined = quarantined;
     }
 
@@ -266,7 +322,7 @@
         let mut tallies: Vec<crash_tally::Tally> = Vec::new();
         let mut rest = crashes;
         while let Some(first) = rest.first() {
-            let (moment, later) = rest.split_at(rest.partition_point(|c| c.at.since(first.at) <= MOMENT));
+            let (moment, later) = rest.split_at(rest.partition_point(|c| c.at.since(first.at) <= self.moment));
             rest = later;
             for (segment, count) in self.suspects_of(moment) {
                 let at = tallies
--- a/crates/core/src/direct/quarantine.rs
+++ b/crates/core/src/direct/quarantine.rs
@@ -1,14 +1,14 @@
-//! A segment of a prompt that is refused because endpoints crash on it.
+//! A segment of a prompt or a request that is refused because endpoints crash on it.
 
 use std::sync::Arc;
 
 use crate::time;
 
-/// A quarantined segment.
+/// A quarantined suspect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Quarantine {
-    /// The segment.
-    pub segment: Arc<str>,
+    /// Identifier of the segment, or of the content of the request.
+    pub suspect: Arc<str>,
     /// Number of crashes that it explains.
     pub crashes: usize,
     /// When the quarantine ends if there are no further crashes, on the clock of the evidence.
--- a/crates/core/src/direct/request_content.rs
+++ b/crates/core/src/direct/request_content.rs
@@ -15,6 +15,8 @@
     pub host: &'a str,
     /// The path and query.
     pub target: &'a str,
+    /// The description of the prompt in the headers, if there is one.
+    pub prompt: Option<&'a str>,
     /// The body.
     pub body: &'a [u8],
 }
@@ -23,12 +25,9 @@
     /// Returns an identifier that is the same for equal contents at all instances, as 16 hexadecimal digits.
     pub fn identifier(&self) -> Arc<str> {
         let mut hasher = xxh3::Xxh3::new();
-        let texts = [
-            self.organisation.unwrap_or_default(),
-            self.method,
-            self.host,
-            self.target,
-        ];
+        let organisation = self.organisation.unwrap_or_default();
+        let prompt = self.prompt.unwrap_or_default();
+        let texts = [organisation, self.method, self.host, self.target, prompt];
         for part in texts.map(str::as_bytes).into_iter().chain([self.body]) {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
--- a/crates/core/src/problem.rs
+++ b/crates/core/src/problem.rs
@@ -61,6 +61,8 @@
     AnswerCut,
     /// Requests with a segment of the prompt have crashed endpoints.
     SegmentQuarantined,
+    /// Requests with the same content have crashed endpoints.
+    RequestQuarantined,
 }
 
 impl ProblemKind {
@@ -77,6 +79,7 @@
             Self::Overloaded
             | Self::NoEndpoint
             | Self::SegmentQuarantined
+            | Self::RequestQuarantined
             | Self::Leaving
             | Self::ClaimsUnavailable
             | Self::KeysUnconfirmed
@@ -105,6 +108,7 @@
                 | Self::Overloaded
                 | Self::NoEndpoint
                 | Self::SegmentQuarantined
+                | Self::RequestQuarantined
                 | Self::Leaving
                 | Self::ClaimsUnavailable
                 | Self::KeysUnconfirmed
@@ -134,6 +138,7 @@
             Self::DeadlineAfterStart => "deadline-after-start",
             Self::NoEndpoint => "no-endpoint",
             Self::SegmentQuarantined => "segment-quarantined",
+            Self::RequestQuarantined => "request-quarantined",
             Self::Leaving => "leaving",
             Self::ClaimsUnavailable => "claims-unavailable",
             Self::NotReady => "not-ready",
@@ -164,6 +169,7 @@
             Self::DeadlineAfterStart => "The deadline passed after the call may have begun",
             Self::NoEndpoint => "No endpoint is in reach",
             Self::SegmentQuarantined => "Requests with a segment of this prompt have crashed endpoints",
+            Self::RequestQuarantined => "Requests with the same content have crashed endpoints",
             Self::Leaving => "The instance is leaving",
             Self::ClaimsUnavailable => "The claim for the idempotency key can't be recorded now",
             Self::NotReady => "The instance has no configuration yet",
--- a/crates/core/tests/crash_days/mod.rs
+++ b/crates/core/tests/crash_days/mod.rs
@@ -1,4 +1,4 @@
-//! Days in virtual time on which requests with one segment crash every endpoint that answers them.
+//! Days in virtual time on which requests with one segment, or one content, crash every endpoint that runs them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +10,6 @@
 use sycamorestile_core::time::Time;
 
 const INSTANCES: usize = 8;
-const ENDPOINTS: usize = 24;
 /// Time between two requests of any kind.
 const REQUEST_INTERVAL_MS: u64 = 15;
 /// One of so many requests has the crashing segment.
@@ -19,8 +18,6 @@
 const SEGMENTS: usize = 180;
 /// Time from the beginning of a response to a crash.
 const CRASH_DELAY_MS: u64 = 100;
-/// Time that a sound response takes.
-const RESPONSE_MS: u64 = 1_600;
 /// Time for which a crashed endpoint is down.
 const DOWN_MS: u64 = 4_500;
 /// When the first request with the crashing segment arrives.
@@ -35,6 +32,47 @@
 /// Share of datagrams that get lost.
 const LOSS: f64 = 0.05;
 
+/// What crashes endpoints on a day.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// A segment of the prompts of streams.
+    Segment,
+    /// The content of a request of a plain service. Instances repeat it once.
+    Request,
+}
+
+impl Cause {
+    fn endpoints(self) -> usize {
+        match self {
+            Self::Segment => 24,
+            Self::Request => 3,
+        }
+    }
+
+    /// Returns the time that a sound response takes.
+    fn response_ms(self) -> u64 {
+        match self {
+            Self::Segment => 1_600,
+            Self::Request => 40,
+        }
+    }
+
+    /// Returns the number of crashes after which knowledge must have spread within the bound.
+    fn tolerated_crashes(self) -> usize {
+        match self {
+            Self::Segment => 5,
+            Self::Request => 3,
+        }
+    }
+
+    fn evidence(self) -> CrashEvidence {
+        match self {
+            Self::Segment => CrashEvidence::default(),
+            Self::Request => CrashEvidence::of_requests(),
+        }
+    }
+}
+
 /// How instances learn from each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Exchange {
@@ -62,6 +100,7 @@
     segments: Vec<Arc<str>>,
     began_ms: u64,
     is_crashing: bool,
+    is_repeat: bool,
 }
 
 #[derive(Default)]
@@ -81,6 +120,7 @@
 
 struct Day {
     rng: ChaCha8Rng,
+    cause: Cause,
     exchange: Exchange,
     instances: Vec<CrashEvidence>,
     endpoints: Vec<Endpoint>,
@@ -91,7 +131,7 @@
 }
 
 /// Plays the day of `seed`, on which an endpoint crashes for another reason every `other_crashes_ms` milliseconds.
-pub fn play(seed: u64, exchange: Exchange, other_crashes_ms: u64) -> Outcome {
+pub fn play(seed: u64, cause: Cause, exchange: Exchange, other_crashes_ms: u64) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let disturbances = (0..3)
         .map(|n| {
@@ -106,9 +146,10 @@
         .collect();
     let mut day = Day {
         rng,
+        cause,
         exchange,
-        instances: vec![CrashEvidence::default(); INSTANCES],
-        endpoints: (0..ENDPOINTS).map(|_| Endpoint::default()).collect(),
+        instances: vec![cause.evidence(); INSTANCES],
+        endpoints: (0..cause.endpoints()).map(|_| Endpoint::default()).collect(),
         disturbances,
         crash_times: Vec::new(),
         outcome: Outcome::default(),
@@ -122,7 +163,7 @@
             day.send_request(now_ms);
         }
         if now_ms % other_crashes_ms == other_crashes_ms - 1 {
-            let endpoint = day.rng.random_range(0..ENDPOINTS);
+            let endpoint = day.rng.random_range(0..cause.endpoints());
             day.crash(endpoint, now_ms);
         }
     }
@@ -151,48 +192,73 @@
     fn send_request(&mut self, now_ms: u64) {
         let instance = self.rng.random_range(0..INSTANCES);
         let is_crashing = now_ms >= FIRST_CRASHING_MS && self.rng.random_ratio(1, CRASHING_SHARE);
-        let mut segments = vec![self.draw_segment()];
-        if is_crashing {
-            let place = self.rng.random_range(0..=1);
-            segments.insert(place, Arc::from("bad"));
-        }
+        let segments = self.draw_suspects(is_crashing, now_ms);
         if self.is_disturbed(instance, now_ms) {
             return;
         }
         let is_quarantined = self.instances[instance].quarantined(&segments).is_some();
-        let fifth_or_last = self.crash_times.get(4).or(self.crash_times.last()).copied();
-        let is_after = |bound: u64| fifth_or_last.is_some_and(|at| now_ms > at + bound);
+        let decisive = self.crash_times.get(self.cause.tolerated_crashes() - 1);
+        let decisive_or_last = decisive.or(self.crash_times.last()).copied();
+        let is_after = |bound: u64| decisive_or_last.is_some_and(|at| now_ms > at + bound);
         if !is_crashing && is_after(2 * BOUND_MS) && self.is_in_touch(instance, now_ms) {
             self.outcome.sound_sent += 1;
             self.outcome.sound_refused += usize::from(is_quarantined);
         }
-        let up: Vec<usize> = (0..ENDPOINTS)
+        self.start_response(Running {
+            instance,
+            segments,
+            began_ms: now_ms,
+            is_crashing,
+            is_repeat: false,
+        });
+    }
+
+    /// Draws what a request may be blamed for.
+    fn draw_suspects(&mut self, is_crashing: bool, now_ms: u64) -> Vec<Arc<str>> {
+        let bad = || Arc::from("bad");
+        match self.cause {
+            Cause::Request if is_crashing => vec![bad()],
+            // Some requests are asked again and again, others once.
+            Cause::Request if self.rng.random_ratio(1, 2) => vec![Arc::from(format!("once-{now_ms}"))],
+            Cause::Request => vec![self.draw_segment()],
+            Cause::Segment => {
+                let mut segments = vec![self.draw_segment()];
+                if is_crashing {
+                    let place = self.rng.random_range(0..=1);
+                    segments.insert(place, bad());
+                }
+                segments
+            }
+        }
+    }
+
+    /// Sends a request to an endpoint that is up, unless it is quarantined.
+    fn start_response(&mut self, running: Running) {
+        let (instance, now_ms) = (running.instance, running.began_ms);
+        let is_quarantined = self.instances[instance].quarantined(&running.segments).is_some();
+        let up: Vec<usize> = (0..self.cause.endpoints())
             .filter(|&e| self.endpoints[e].down_until_ms <= now_ms)
             .collect();
         let Some(&endpoint) = up.choose(&mut self.rng).filter(|_| !is_quarantined) else {
             return;
         };
-        let is_late = self.crash_times.get(4).is_some_and(|at| now_ms > at + BOUND_MS);
-        if is_crashing && is_late && self.is_in_touch(instance, now_ms) {
+        let decisive = self.crash_times.get(self.cause.tolerated_crashes() - 1);
+        let is_late = decisive.is_some_and(|at| now_ms > at + BOUND_MS);
+        if running.is_crashing && is_late && self.is_in_touch(instance, now_ms) {
             self.outcome.late_crashing_requests += 1;
         }
-        self.endpoints[endpoint].running.push(Running {
-            instance,
-            segments,
-            began_ms: now_ms,
-            is_crashing,
-        });
+        self.endpoints[endpoint].running.push(running);
     }
 
     fn end_responses(&mut self, now_ms: u64) {
         let now = Time::from_millis(now_ms);
-        for index in 0..ENDPOINTS {
+        for index in 0..self.cause.endpoints() {
             let is_due = |r: &Running| r.is_crashing && now_ms >= r.began_ms + CRASH_DELAY_MS;
             if self.endpoints[index].running.iter().any(is_due) {
                 self.crash_times.push(now_ms);
                 self.crash(index, now_ms);
             }
-            let is_complete = |r: &mut Running| now_ms >= r.began_ms + RESPONSE_MS;
+            let is_complete = |r: &mut Running| !r.is_crashing && now_ms >= r.began_ms + self.cause.response_ms();
             let complete: Vec<Running> = self.endpoints[index].running.extract_if(.., is_complete).collect();
             for response in complete {
                 self.instances[response.instance].record_proof(&response.segments, now);
@@ -207,10 +273,21 @@
         endpoint.down_until_ms = now_ms + DOWN_MS;
         let broken = std::mem::take(&mut endpoint.running);
         for response in broken {
-            let written_for = Duration::from_millis(now_ms - response.began_ms);
-            if !is_proof(written_for, false) && !self.is_disturbed(response.instance, now_ms) {
-                let evidence = &mut self.instances[response.instance];
-                evidence.record_crash(&id, &response.segments, Time::from_millis(now_ms));
+            let instance = response.instance;
+            let written_for = match self.cause {
+                Cause::Segment => Duration::from_millis(now_ms - response.began_ms),
+                Cause::Request => Duration::ZERO,
+            };
+            if is_proof(written_for, false) || self.is_disturbed(instance, now_ms) {
+                continue;
+            }
+            self.instances[instance].record_crash(&id, &response.segments, Time::from_millis(now_ms));
+            if self.cause == Cause::Request && !response.is_repeat {
+                self.start_response(Running {
+                    began_ms: now_ms,
+                    is_repeat: true,
+                    ..response
+                });
             }
         }
     }
@@ -222,7 +299,7 @@
         }
         for disturbance in &self.disturbances {
             if disturbance.loses_state && (disturbance.from_ms..disturbance.to_ms).contains(&now_ms) {
-                self.instances[disturbance.instance] = CrashEvidence::default();
+                self.instances[disturbance.instance] = self.cause.evidence();
             }
         }
         if self.exchange == Exchange::None {
--- a/crates/core/tests/direct_crash_evidence.rs
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -28,7 +28,7 @@
 }
 
 fn names(evidence: &CrashEvidence) -> Vec<&str> {
-    evidence.quarantines().iter().map(|q| q.segment.as_ref()).collect()
+    evidence.quarantines().iter().map(|q| q.suspect.as_ref()).collect()
 }
 
 #[test]
@@ -229,7 +229,12 @@
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
     #[values(7_000, 600)] other_crashes_ms: u64,
 ) {
-    let outcome = crash_days::play(seed, crash_days::Exchange::Datagrams, other_crashes_ms);
+    let outcome = crash_days::play(
+        seed,
+        crash_days::Cause::Segment,
+        crash_days::Exchange::Datagrams,
+        other_crashes_ms,
+    );
     assert!(outcome.crashes >= 2, "seed {seed}: {outcome:?}");
     assert!(outcome.late_crashing_requests <= 3, "seed {seed}: {outcome:?}");
     assert!(
@@ -238,8 +243,53 @@
     );
 }
 
-#[test]
-fn the_days_show_instances_that_learn_nothing_from_others() {
-    let is_broken = |seed| crash_days::play(seed, crash_days::Exchange::None, 7_000).late_crashing_requests > 3;
+#[rstest]
+fn crashing_request_is_stopped_and_sound_requests_are_served(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
+    #[values(7_000, 2_500)] other_crashes_ms: u64,
+) {
+    let outcome = crash_days::play(
+        seed,
+        crash_days::Cause::Request,
+        crash_days::Exchange::Datagrams,
+        other_crashes_ms,
+    );
+    assert!(outcome.crashes >= 2, "seed {seed}: {outcome:?}");
+    assert!(outcome.late_crashing_requests <= 3, "seed {seed}: {outcome:?}");
+    assert!(
+        20 * outcome.sound_refused <= outcome.sound_sent,
+        "seed {seed}: {outcome:?}"
+    );
+}
+
+#[rstest]
+fn the_days_show_instances_that_learn_nothing_from_others(
+    #[values(crash_days::Cause::Segment, crash_days::Cause::Request)] cause: crash_days::Cause,
+) {
+    let is_broken = |seed| crash_days::play(seed, cause, crash_days::Exchange::None, 7_000).late_crashing_requests > 3;
     assert!((1..=20).any(is_broken));
 }
+
+#[test]
+fn request_that_crashes_two_endpoints_within_a_moment_is_quarantined() {
+    let mut evidence = CrashEvidence::of_requests();
+    crash(&mut evidence, "l-1", &["bad", "a"], 1_000);
+    assert!(names(&evidence).is_empty());
+    crash(&mut evidence, "l-2", &["bad"], 1_080);
+    assert_eq!(names(&evidence), ["bad"]);
+}
+
+#[test]
+fn crashes_that_a_segment_explains_are_not_held_against_requests() {
+    let mut evidence = CrashEvidence::of_requests();
+    crash(&mut evidence, "m-1", &["sound"], 1_000);
+    crash(&mut evidence, "m-2", &["sound"], 6_000);
+    assert_eq!(names(&evidence), ["sound"]);
+    let mut segments = CrashEvidence::default();
+    crash(&mut segments, "m-1", &["bad"], 1_000);
+    crash(&mut segments, "m-2", &["bad"], 6_000);
+    evidence.set_explained(segments.explained_endpoints(), at(6_000));
+    assert!(names(&evidence).is_empty());
+    evidence.set_explained(Vec::new(), at(6_100));
+    assert_eq!(names(&evidence), ["sound"], "the segment was released");
+}
--- a/crates/core/tests/direct_request_content.rs
+++ b/crates/core/tests/direct_request_content.rs
@@ -8,6 +8,7 @@
     method: "GET",
     host: "calls.example",
     target: "/lots/7?full=1",
+    prompt: None,
     body: b"lot",
 };
 
@@ -17,6 +18,7 @@
 #[case::method(RequestContent { method: "PUT", ..CONTENT })]
 #[case::host(RequestContent { host: "other.example", ..CONTENT })]
 #[case::target(RequestContent { target: "/lots/7?full=2", ..CONTENT })]
+#[case::prompt(RequestContent { prompt: Some("5afe:40"), ..CONTENT })]
 #[case::body(RequestContent { body: b"Lot", ..CONTENT })]
 #[case::boundary(RequestContent { target: "/lots/7?full=1l", body: b"ot", ..CONTENT })]
 fn requests_that_differ_have_different_identifiers(#[case] other: RequestContent<'static>) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -157,8 +157,8 @@
     if !grant.route.targets.iter().any(|t| t.service == endpoint.service) {
         return Ok(failed(req_cx.attempts.not_sent(), "route moved to another service"));
     }
-    if crash_watch::quarantine_remaining(cx, &req_cx.call).is_some() {
-        return Err(problem::ProblemKind::SegmentQuarantined);
+    if let Some(kind) = crash_watch::quarantine_problem_kind(cx, &req_cx.call) {
+        return Err(kind);
     }
     send_request(cx, req_cx, lease, slot, &grant, last_event_id).await
 }
@@ -351,6 +351,7 @@
             release_connection(lease, &parts.headers, &head);
             if class == response_class::ResponseClass::Response {
                 cx.placement.borrow_mut().record_success(&id, head.load, now);
+                crash_watch::record_proof(cx, &req_cx.call);
                 return Ok(AttemptResult::Response(Box::new(caller_response(
                     parts,
                     response_body::ResponseBody::whole(bytes),
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -39,7 +39,9 @@
     pub(crate) outages: service_map::ServiceMap<outage::OutageDetector>,
     pub(crate) pacings: service_map::ServiceMap<pacing::Pacing>,
     /// Crashes of endpoints, and the segments of prompts that are quarantined for them.
-    pub(crate) crash_evidence: RefCell<crash_evidence::CrashEvidence>,
+    pub(crate) segment_crashes: RefCell<crash_evidence::CrashEvidence>,
+    /// Crashes of endpoints, and the contents of requests that are quarantined for them.
+    pub(crate) request_crashes: RefCell<crash_evidence::CrashEvidence>,
     /// Notified when this instance learns a fact about an endpoint that its peers may lack.
     pub(crate) fact_news: Notify,
     pub(crate) pool: pool::Pool,
--- a/crates/gateway/src/fact_exchange.rs
+++ b/crates/gateway/src/fact_exchange.rs
@@ -30,7 +30,11 @@
     /// would otherwise reply to each other without end.
     #[serde(default)]
     is_reply: bool,
+    /// Crashes with the segments of prompts that may have caused them.
     crashes: crash_facts::CrashFacts,
+    /// Crashes with the contents of requests that may have caused them.
+    #[serde(default)]
+    request_crashes: crash_facts::CrashFacts,
     #[serde(default)]
     limits: Vec<rate_limits::LimitFact>,
 }
@@ -49,21 +53,24 @@
         let now = boot_clock::now();
         Self {
             is_reply: false,
-            crashes: cx.crash_evidence.borrow().facts(now),
+            crashes: cx.segment_crashes.borrow().facts(now),
+            request_crashes: cx.request_crashes.borrow().facts(now),
             limits: cx.rate_limits.borrow_mut().facts(now),
         }
     }
 
     fn is_empty(&self) -> bool {
-        self.crashes.crashes.is_empty() && self.limits.is_empty()
+        self.crashes.crashes.is_empty() && self.request_crashes.crashes.is_empty() && self.limits.is_empty()
     }
 
     /// Merges these facts, which were told `elapsed` ago, into what this gateway knows.
     fn merge_into(&self, cx: &context::GatewayContext, elapsed: Duration) -> merged::Merged {
         let now = boot_clock::now();
-        let crashes = crash_watch::update(cx, |evidence| evidence.merge(&self.crashes, elapsed, now));
+        let merge = |suspect, facts| crash_watch::update(cx, suspect, |evidence| evidence.merge(facts, elapsed, now));
+        let crashes = merge(crash_watch::Suspect::Segment, &self.crashes);
+        let request_crashes = merge(crash_watch::Suspect::Request, &self.request_crashes);
         let limits = cx.rate_limits.borrow_mut().merge(&self.limits, elapsed, now);
-        crashes.and(limits)
+        crashes.and(request_crashes).and(limits)
     }
 }
 
@@ -95,7 +102,9 @@
         if has_news {
             rounds.record_news(boot_clock::now());
         }
-        let own_reports = cx.crash_evidence.borrow().own_reports() + cx.rate_limits.borrow().own_reports();
+        let own_reports = cx.segment_crashes.borrow().own_reports()
+            + cx.request_crashes.borrow().own_reports()
+            + cx.rate_limits.borrow().own_reports();
         if own_reports != reports_written {
             reports_written = own_reports;
             write_row(&cx, &own_row);
@@ -105,7 +114,9 @@
 
 /// Forgets old facts, and shares the rate limits among the gateways that are heard of now.
 fn refresh(cx: &context::GatewayContext, now: Time) {
-    crash_watch::update(cx, |evidence| evidence.refresh(now));
+    for suspect in [crash_watch::Suspect::Segment, crash_watch::Suspect::Request] {
+        crash_watch::update(cx, suspect, |evidence| evidence.refresh(now));
+    }
     let peers = cx.placement.borrow().live_peer_ids(now);
     cx.rate_limits.borrow_mut().refresh(peers, now);
 }
@@ -115,7 +126,8 @@
     let merged = facts.merge_into(cx, Duration::ZERO);
     if merged.learned {
         info!(cx.log, "learned facts about endpoints from a peer";
-            "peer" => %from, "crashes" => facts.crashes.crashes.len(), "limits" => facts.limits.len());
+            "peer" => %from, "crashes" => facts.crashes.crashes.len(),
+            "request_crashes" => facts.request_crashes.crashes.len(), "limits" => facts.limits.len());
         cx.fact_news.notify_one();
     }
     if merged.sender_lacks && !facts.is_reply {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -196,6 +196,7 @@
         method: parts.method.as_str(),
         host: &host,
         target: &target,
+        prompt: head.prompt.as_deref(),
         body: &body,
     };
     Ok(Call {
--- a/crates/gateway/src/header_adapter.rs
+++ b/crates/gateway/src/header_adapter.rs
@@ -24,6 +24,8 @@
     /// The identifiers of the segments that the prompt shares with other requests. The segment that belongs to this
     /// request alone is left out.
     pub shared_segments: Vec<Arc<str>>,
+    /// The description of the whole prompt, as the caller sent it.
+    pub prompt: Option<Arc<str>>,
 }
 
 /// The error for a caller's header with an invalid value.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,7 +43,8 @@
     withheld_repeats: Counter,
     connects: Counter,
     crashes: Counter,
-    quarantined: Gauge,
+    quarantined_segments: Gauge,
+    quarantined_requests: Gauge,
     /// The organisations with their own label, sorted.
     organisations: RefCell<Vec<Arc<str>>>,
 }
@@ -60,7 +61,7 @@
         let outcomes = Family::<OutcomeLabels, Counter>::default();
         let (repeated_sends, withheld_repeats) = (Counter::default(), Counter::default());
         let (connects, crashes) = (Counter::default(), Counter::default());
-        let quarantined = Gauge::default();
+        let (quarantined_segments, quarantined_requests) = (Gauge::default(), Gauge::default());
         registry.register(
             "first_byte_seconds",
             "Time to the first byte of a response",
@@ -87,7 +88,12 @@
         registry.register(
             "quarantined_segments",
             "Prompt segments that are quarantined because endpoints crash on them",
-            quarantined.clone(),
+            quarantined_segments.clone(),
+        );
+        registry.register(
+            "quarantined_requests",
+            "Requests, by their content, that are quarantined because endpoints crash on them",
+            quarantined_requests.clone(),
         );
         Self {
             registry,
@@ -98,7 +104,8 @@
             withheld_repeats,
             connects,
             crashes,
-            quarantined,
+            quarantined_segments,
+            quarantined_requests,
             organisations: RefCell::default(),
         }
     }
@@ -145,8 +152,13 @@
     }
 
     /// Sets the number of quarantined segments.
-    pub(crate) fn set_quarantined(&self, count: usize) {
-        self.quarantined.set(count as i64);
+    pub(crate) fn set_quarantined_segments(&self, count: usize) {
+        self.quarantined_segments.set(count as i64);
+    }
+
+    /// Sets the number of quarantined requests.
+    pub(crate) fn set_quarantined_requests(&self, count: usize) {
+        self.quarantined_requests.set(count as i64);
     }
 
     /// Returns all metrics in the text exposition format.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -110,11 +110,7 @@
         }
         // The request itself may have crashed the endpoint, and would crash the next one too.
         attempts::NextAttempt::Send { .. }
-            if req_cx.endpoint_crashed
-                && !cx
-                    .crash_evidence
-                    .borrow()
-                    .allows_repeat(&req_cx.call.head.shared_segments) =>
+            if req_cx.endpoint_crashed && !crash_watch::allows_repeat(cx, &req_cx.call) =>
         {
             Some(problem_kind(req_cx.attempts.failure_outcome()))
         }
