Quarantine calls that crash endpoints at entries, too

The same cause in the product's own path: an entry took the end of an endpoint for a lost response, repeated an idempotent call at up to four agents, and told no other entry.

Change: an agent whose endpoint breaks off and then refuses connections reports endpoint-crashed instead of answer-lost. An entry keeps the same evidence of crashes as gateways, by the content of calls, and refuses a call under which two endpoints have crashed (503 request-quarantined, with when to come back) before it is routed. Entries exchange what they know after each digest, by a call of its own that is only made when there is something to tell.

Left: nothing is written to the platform's table, so that the quarantine ends when all entries restart at once. A long stream counts like a short call. The retries that an entry's budget holds at its start, ten, are given again after each restart; that budget promises nothing over all entries.

Test: call_that_crashes_endpoints_is_stopped_at_all_entries, real entries and agents before ten endpoints. Before, all ten had crashed and sound calls found none (503 no-endpoint instead of 200); now two crash, the second entry sends none, and sound calls are served. Without the exchange, two more crash through the second entry, and the test fails.

--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -5,6 +5,7 @@
 //! configuration are passed to each method that needs them.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -12,6 +13,7 @@
 use crate::claim;
 use crate::config::endpoint;
 use crate::config::state;
+use crate::direct::crash_evidence;
 use crate::limits;
 use crate::load;
 use crate::membership;
@@ -77,6 +79,8 @@
     pub limiter: limits::Limiter,
     /// Budget for retries.
     pub budget: retry_budget::RetryBudget,
+    /// Crashes of endpoints, and the contents of calls that are quarantined for them.
+    pub crashes: crash_evidence::CrashEvidence,
     prefixes: prefix_memory::PrefixMemory,
     cost_model: router::GroupCostModel,
 }
@@ -90,6 +94,7 @@
             entries: 1,
             limiter: limits::Limiter::default(),
             budget: retry_budget::RetryBudget::default(),
+            crashes: crash_evidence::CrashEvidence::of_requests(),
             prefixes: prefix_memory::PrefixMemory::new(PREFIX_CAPACITY),
             cost_model: router::GroupCostModel::default(),
         }
@@ -135,6 +140,24 @@
         })
     }
 
+    /// Checks that no calls with the content `identifier` have crashed endpoints.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal with the time until the quarantine ends if they have.
+    pub fn check_quarantine(&mut self, identifier: &Arc<str>, now: time::Time) -> Result<(), problem::Problem> {
+        let identifiers = std::slice::from_ref(identifier);
+        if self.crashes.quarantined(identifiers).is_some() {
+            self.crashes.refresh(now);
+        }
+        let Some(quarantine) = self.crashes.quarantined(identifiers) else {
+            return Ok(());
+        };
+        let detail = format!("{} endpoints crashed on request {identifier}", quarantine.crashes);
+        let remaining = crash_evidence::CrashEvidence::remaining(quarantine, now);
+        Err(problem::Problem::new(problem::ProblemKind::RequestQuarantined, detail).with_retry_after(remaining))
+    }
+
     /// Chooses an endpoint for a call.
     ///
     /// # Errors
--- a/crates/core/src/problem.rs
+++ b/crates/core/src/problem.rs
@@ -63,6 +63,8 @@
     SegmentQuarantined,
     /// Requests with the same content have crashed endpoints.
     RequestQuarantined,
+    /// The endpoint's process ended while it ran the call.
+    EndpointCrashed,
 }
 
 impl ProblemKind {
@@ -86,16 +88,18 @@
             | Self::NotReady
             | Self::DeadlineBeforeStart => 503,
             Self::DeadlineAfterStart => 504,
-            Self::AnswerLost | Self::EarlierAnswerLost | Self::AnswerCut => 502,
+            Self::AnswerLost | Self::EarlierAnswerLost | Self::AnswerCut | Self::EndpointCrashed => 502,
         }
     }
 
     /// Returns the outcome that is reported to the caller.
     pub const fn outcome(self) -> outcome::Outcome {
         match self {
-            Self::DeadlineAfterStart | Self::AnswerLost | Self::EarlierAnswerLost | Self::AnswerCut => {
-                outcome::Outcome::Unknown
-            }
+            Self::DeadlineAfterStart
+            | Self::AnswerLost
+            | Self::EarlierAnswerLost
+            | Self::AnswerCut
+            | Self::EndpointCrashed => outcome::Outcome::Unknown,
             _ => outcome::Outcome::NotRun,
         }
     }
@@ -139,6 +143,7 @@
             Self::NoEndpoint => "no-endpoint",
             Self::SegmentQuarantined => "segment-quarantined",
             Self::RequestQuarantined => "request-quarantined",
+            Self::EndpointCrashed => "endpoint-crashed",
             Self::Leaving => "leaving",
             Self::ClaimsUnavailable => "claims-unavailable",
             Self::NotReady => "not-ready",
@@ -170,6 +175,7 @@
             Self::NoEndpoint => "No endpoint is in reach",
             Self::SegmentQuarantined => "Requests with a segment of this prompt have crashed endpoints",
             Self::RequestQuarantined => "Requests with the same content have crashed endpoints",
+            Self::EndpointCrashed => "The endpoint ended while it ran the call",
             Self::Leaving => "The instance is leaving",
             Self::ClaimsUnavailable => "The claim for the idempotency key can't be recorded now",
             Self::NotReady => "The instance has no configuration yet",
--- a/crates/node/src/agent/endpoint_call.rs
+++ b/crates/node/src/agent/endpoint_call.rs
@@ -102,6 +102,10 @@
             break;
         }
     }
+    if cx.clock.now() < deadline && http_client::refuses_connections(endpoint.address).await {
+        let detail = "the connection broke, and the endpoint refuses new ones";
+        return EndpointResult::Failed(problem::Problem::new(problem::ProblemKind::EndpointCrashed, detail));
+    }
     EndpointResult::Failed(lost_problem(cx, deadline))
 }
 
--- a/crates/node/src/entry/call_driver.rs
+++ b/crates/node/src/entry/call_driver.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use slog::warn;
 use sycamorestile_core::attempt_id;
 use sycamorestile_core::call;
 use sycamorestile_core::call_head;
 use sycamorestile_core::claim;
 use sycamorestile_core::config::endpoint;
 use sycamorestile_core::decision_log;
+use sycamorestile_core::direct::request_content;
 use sycamorestile_core::dispatcher;
 use sycamorestile_core::frame_order;
 use sycamorestile_core::name;
@@ -76,7 +78,16 @@
         (false, None) => call::Repeatability::NonIdempotent,
     };
     let deadline = request.received + request.head.deadline;
+    let content = request_content::RequestContent {
+        organisation: Some(request.head.organisation.as_str()),
+        method: &request.head.method,
+        host: request.head.service.as_str(),
+        target: &request.head.target,
+        prompt: None,
+        body: &request.body,
+    };
     let mut driver = CallDriver {
+        content: content.identifier(),
         sink: sink::Sink::new(reply),
         call: call::Call::new(repeatability),
         active: None,
@@ -93,6 +104,8 @@
 struct CallDriver {
     cx: Arc<context::EntryContext>,
     request: CallRequest,
+    /// Identifies the call by its content.
+    content: Arc<str>,
     call: call::Call,
     active: Option<ActiveAttempt>,
     tried_endpoints: Vec<name::Name>,
@@ -143,6 +156,9 @@
         if now >= self.deadline {
             return call::AttemptEvent::DeadlinePassed;
         }
+        if let Err(problem) = self.cx.dispatcher().check_quarantine(&self.content, now) {
+            return call::AttemptEvent::NoCandidate(problem);
+        }
         let (endpoint, agent) = match self.route(continued) {
             Ok(chosen) => chosen,
             Err(problem) => return call::AttemptEvent::NoCandidate(problem),
@@ -307,13 +323,38 @@
         match frame.body {
             frame::FrameBody::Head { status, content_type } => self.handle_head(status, content_type),
             frame::FrameBody::Data(data) => self.handle_data(data).await,
-            frame::FrameBody::End => Some(call::AttemptEvent::Ended),
-            frame::FrameBody::Failed(problem) => Some(call::AttemptEvent::EndpointFailed(problem)),
+            frame::FrameBody::End => {
+                self.cx
+                    .dispatcher()
+                    .crashes
+                    .record_proof(std::slice::from_ref(&self.content), self.cx.clock.now());
+                Some(call::AttemptEvent::Ended)
+            }
+            frame::FrameBody::Failed(problem) => {
+                if problem.kind == problem::ProblemKind::EndpointCrashed {
+                    self.record_crash();
+                }
+                Some(call::AttemptEvent::EndpointFailed(problem))
+            }
             frame::FrameBody::OwnedBy(owner) => Some(self.attach_to_owner(&owner)),
             frame::FrameBody::Heartbeat | frame::FrameBody::Refused(_) | frame::FrameBody::Forgotten => None,
         }
     }
 
+    /// Records that the endpoint of the active attempt crashed under this call.
+    fn record_crash(&self) {
+        let Some(active) = &self.active else { return };
+        let endpoint: Arc<str> = Arc::from(active.endpoint.as_str());
+        let contents = std::slice::from_ref(&self.content);
+        let mut dispatcher = self.cx.dispatcher();
+        dispatcher
+            .crashes
+            .record_crash(&endpoint, contents, self.cx.clock.now());
+        warn!(self.cx.log, "endpoint crashed under a call";
+            "call" => &*self.request.id, "endpoint" => endpoint.as_ref(), "content" => self.content.as_ref(),
+            "quarantined" => dispatcher.crashes.quarantined(contents).is_some());
+    }
+
     fn handle_head(&mut self, status: u16, content_type: Option<Box<str>>) -> Option<call::AttemptEvent> {
         if let Some(active) = &self.active {
             self.cx
--- a/crates/node/src/entry/context.rs
+++ b/crates/node/src/entry/context.rs
@@ -2,12 +2,14 @@
 
 use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use crossbeam::sync::ShardedLock;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use slog::Logger;
+use slog::{Logger, info};
 use sycamorestile_core::attempt_id;
+use sycamorestile_core::direct::crash_facts;
 use sycamorestile_core::dispatcher;
 use sycamorestile_platform::client;
 use tokio::sync::Notify;
@@ -52,6 +54,21 @@
         self.dispatcher.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns what this entry knows of crashes of endpoints.
+    pub(crate) fn crash_facts(&self) -> crash_facts::CrashFacts {
+        self.dispatcher().crashes.facts(self.clock.now())
+    }
+
+    /// Merges what another entry knows of crashes of endpoints.
+    pub(crate) fn merge_crashes(&self, facts: &crash_facts::CrashFacts) {
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher();
+        dispatcher.crashes.refresh(now);
+        if dispatcher.crashes.merge(facts, Duration::ZERO, now).learned {
+            info!(self.log, "learned of crashed endpoints from a peer"; "crashes" => facts.crashes.len());
+        }
+    }
+
     pub(crate) fn rng(&self) -> MutexGuard<'_, ChaCha8Rng> {
         self.rng.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/node/src/entry/control_server.rs
+++ b/crates/node/src/entry/control_server.rs
@@ -7,6 +7,7 @@
 use sycamorestile_core::agent_view;
 use sycamorestile_core::announce_reply;
 use sycamorestile_core::digest;
+use sycamorestile_core::direct::crash_facts;
 use sycamorestile_core::packed;
 use sycamorestile_wire::entry_control::EntryControl;
 use tarpc::context::Context;
@@ -32,6 +33,11 @@
     async fn exchange(self, _: Context, digest: digest::Digest) -> Option<digest::DigestReply> {
         self.cx.control.reply_to_digest(digest).await
     }
+
+    async fn exchange_crashes(self, _: Context, facts: crash_facts::CrashFacts) -> crash_facts::CrashFacts {
+        self.cx.merge_crashes(&facts);
+        self.cx.crash_facts()
+    }
 }
 
 /// Starts the server and returns its address.
--- a/crates/node/src/entry/peers.rs
+++ b/crates/node/src/entry/peers.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use slog::debug;
 use sycamorestile_core::control_intervals;
 use sycamorestile_core::name;
 use sycamorestile_wire::entry_control;
@@ -149,5 +150,21 @@
         same_domain: reply.failure_domain == domain,
     };
     cx.control.apply_digest_reply(reply);
+    exchange_crashes(client, cx).await;
     Some(peer_info)
 }
+
+/// Exchanges with a peer what both know of crashes of endpoints, unless this entry knows of none. An entry that knows of
+/// some contacts this one itself.
+async fn exchange_crashes(client: &entry_control::EntryControlClient, cx: &context::EntryContext) {
+    let facts = cx.crash_facts();
+    if facts.crashes.is_empty() {
+        return;
+    }
+    let exchange = client.exchange_crashes(tarpc::context::current(), facts);
+    match time::timeout(entry_links::RPC_TIMEOUT, exchange).await {
+        Ok(Ok(told)) => cx.merge_crashes(&told),
+        // The facts are sent again with the next digest.
+        Ok(Err(_)) | Err(_) => debug!(cx.log, "failed to exchange crashes of endpoints with a peer"),
+    }
+}
--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -46,6 +46,13 @@
     },
 }
 
+/// Returns whether `addr` refuses a new connection, since no process listens there. An address that can't be reached
+/// doesn't count.
+pub async fn refuses_connections(addr: SocketAddr) -> bool {
+    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    matches!(connecting, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
 /// Sends `req` to `addr` over a new connection and waits up to `timeout` for the response head.
 ///
 /// # Errors
--- a/crates/wire/src/entry_control.rs
+++ b/crates/wire/src/entry_control.rs
@@ -3,6 +3,7 @@
 use sycamorestile_core::agent_view;
 use sycamorestile_core::announce_reply;
 use sycamorestile_core::digest;
+use sycamorestile_core::direct::crash_facts;
 use sycamorestile_core::packed;
 
 /// Control calls to an entry.
@@ -12,4 +13,6 @@
     async fn announce(view: packed::Packed<agent_view::AgentView>) -> Option<announce_reply::AnnounceReply>;
     /// Processes the digest of another entry and returns what that entry lacks.
     async fn exchange(digest: digest::Digest) -> Option<digest::DigestReply>;
+    /// Merges what another entry knows of crashes of endpoints, and returns what this one knows.
+    async fn exchange_crashes(facts: crash_facts::CrashFacts) -> crash_facts::CrashFacts;
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod bookings;
 mod chaos;
+mod crashing_calls;
 mod draining;
 mod end_to_end;
 mod operators;
--- a/tests/all/support/cluster.rs
+++ b/tests/all/support/cluster.rs
@@ -151,6 +151,28 @@
         }
     }
 
+    /// Declares a service whose calls to `path` are idempotent, with `endpoints` by name, and starts their agents.
+    pub(crate) fn add_service(&mut self, service: &str, path: &str, endpoints: &[(String, SocketAddr)]) {
+        let mut yaml = format!(
+            "services:\n- name: {service}\n  kind: plain\n  max_body_bytes: 4096\n  routes:\n  - path: {path}\n    \
+             methods: [POST]\n    idempotent: true\nendpoints:\n"
+        );
+        for (name, address) in endpoints {
+            // Writing to a string can't fail.
+            let _result = write!(
+                yaml,
+                "- name: {name}\n  service: {service}\n  failure_domain: {DOMAIN}\n  address: {address}\n  slots: 4\n"
+            );
+        }
+        self.declare(&yaml);
+        for (name, address) in endpoints {
+            let endpoint_proxy = self.proxy(&address.to_string());
+            let agent = self.new_agent(name.clone(), endpoint_proxy);
+            self.agents.push(agent);
+        }
+        self.wait_ready();
+    }
+
     /// Declares objects through the first entry.
     pub(crate) fn declare(&self, yaml: &str) {
         let file = self.write_file("declarations.yaml", yaml);
