Bound what gateways tell each other of crashes to one datagram

Callers would have seen a quarantine that some gateways don't share.

Cause: the numbers of crashes, suspects and proofs were bounded, but not the length of their encoding. With identifiers of 64 bytes, which callers choose and which are the longest that are told apart, all of them take 79 KB, and a gateway reads datagrams of up to 32 KB; it would have logged that it can't decode them. The second set of facts, about requests, made that more likely. Found by reading.

Change: facts are told up to 12 KB for each set, first the crashes that support a quarantine, then the newest, each with its proofs.

Test: facts_with_the_longest_identifiers_fit_into_a_datagram, 78,849 bytes before; a learner then reaches the verdict.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -41,6 +41,9 @@
 const MAX_SEGMENTS: usize = 32;
 /// Length up to which identifiers of segments are told apart, in bytes.
 const MAX_SEGMENT_BYTES: usize = 64;
+/// Upper bound of the encoded length of the facts told at once, so that those about segments and those about requests fit
+/// into one datagram.
+const MAX_FACTS_BYTES: usize = 12 << 10;
 /// Upper bound of the number of segments whose last proof is kept.
 const MAX_PROVED: usize = 4_096;
 
@@ -194,29 +197,43 @@
         self.judge(now);
     }
 
-    /// Returns what to tell other instances.
+    /// Returns what to tell other instances, up to [`MAX_FACTS_BYTES`]. Crashes that support a quarantine come first, then
+    /// the newest.
     pub fn facts(&self, now: time::Time) -> crash_facts::CrashFacts {
         let now = shifted(now);
-        let age_ms = |at: time::Time| now.since(at).as_millis() as u64;
-        let crashes = self.crashes.iter().map(|c| crash_facts::CrashFact {
-            endpoint: Arc::clone(&c.endpoint),
-            age_ms: age_ms(c.at),
-            suspects: c.suspects.clone(),
-        });
-        let mut suspects: Vec<&Arc<str>> = self.crashes.iter().flat_map(|c| &c.suspects).collect();
-        suspects.sort_unstable();
-        suspects.dedup();
-        let proofs = suspects.into_iter().filter_map(|segment| {
+        let mut by_weight: Vec<&crash::Crash> = self.crashes.iter().collect();
+        by_weight.sort_by_key(|c| std::cmp::Reverse((self.is_explained(c), c.at)));
+        let mut facts = crash_facts::CrashFacts::default();
+        let mut bytes = 0;
+        for crash in by_weight {
+            let fact = crash_facts::CrashFact {
+                endpoint: Arc::clone(&crash.endpoint),
+                age_ms: now.since(crash.at).as_millis() as u64,
+                suspects: crash.suspects.clone(),
+            };
+            let proofs = self.proof_facts(&crash.suspects, now);
+            bytes += fact.encoded_len() + proofs.iter().map(crash_facts::ProofFact::encoded_len).sum::<usize>();
+            if bytes > MAX_FACTS_BYTES {
+                break;
+            }
+            facts.crashes.push(fact);
+            facts.proofs.extend(proofs);
+        }
+        facts.proofs.sort_by(|a, b| a.segment.cmp(&b.segment));
+        facts.proofs.dedup();
+        facts
+    }
+
+    /// Returns this instance's own proofs of `suspects`.
+    fn proof_facts(&self, suspects: &[Arc<str>], now: time::Time) -> Vec<crash_facts::ProofFact> {
+        let proofs = suspects.iter().filter_map(|segment| {
             let at = find(&self.own_proofs, segment)?;
             Some(crash_facts::ProofFact {
                 segment: Arc::clone(segment),
-                age_ms: age_ms(at),
+                age_ms: now.since(at).as_millis() as u64,
             })
         });
-        crash_facts::CrashFacts {
-            crashes: crashes.collect(),
-            proofs: proofs.collect(),
-        }
+        proofs.collect()
     }
 
     /// Returns how many reports of this instance itself were news to it.
--- a/crates/core/src/direct/crash_facts.rs
+++ b/crates/core/src/direct/crash_facts.rs
@@ -4,6 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Upper bound of the length of a fact as JSON, without its identifiers.
+const FACT_BYTES: usize = 64;
+/// Length of what JSON puts around an identifier in a list.
+const IDENTIFIER_BYTES: usize = 3;
+/// Upper bound of the length of a byte that JSON escapes.
+const ESCAPE_BYTES: usize = 6;
+
 /// What an instance tells others about crashes.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashFacts {
@@ -33,3 +40,23 @@
     /// Age of the proof in milliseconds.
     pub age_ms: u64,
 }
+
+impl CrashFact {
+    /// Returns an upper bound of the length of the fact as JSON.
+    pub(super) fn encoded_len(&self) -> usize {
+        let suspects = self.suspects.iter().map(|s| identifier_len(s));
+        FACT_BYTES + identifier_len(&self.endpoint) + suspects.sum::<usize>()
+    }
+}
+
+impl ProofFact {
+    /// Returns an upper bound of the length of the fact as JSON.
+    pub(super) fn encoded_len(&self) -> usize {
+        FACT_BYTES + identifier_len(&self.segment)
+    }
+}
+
+fn identifier_len(identifier: &str) -> usize {
+    let escaped = identifier.bytes().filter(|b| matches!(b, b'"' | b'\\' | 0..0x20));
+    IDENTIFIER_BYTES + identifier.len() + escaped.count() * (ESCAPE_BYTES - 1)
+}
--- a/crates/core/tests/direct_crash_evidence.rs
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -293,3 +293,23 @@
     evidence.set_explained(Vec::new(), at(6_100));
     assert_eq!(names(&evidence), ["sound"], "the segment was released");
 }
+
+#[test]
+fn facts_with_the_longest_identifiers_fit_into_a_datagram() {
+    let mut evidence = CrashEvidence::default();
+    crash(&mut evidence, "x-1", &["bad"], 0);
+    crash(&mut evidence, "x-2", &["bad"], 1_000);
+    for n in 0..40_u64 {
+        let names: Vec<String> = (0..16).map(|s| format!("{n:032}{s:032}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        evidence.record_proof(&segments(&names), at(1_000));
+        crash(&mut evidence, &format!("m-{n}"), &names, 2_000 + n * 1_000);
+    }
+    let facts = evidence.facts(at(50_000));
+    let bytes = serde_json::to_vec(&facts).expect("facts are encoded").len();
+    // Gateways receive up to 32 KB, with the facts about segments, requests and rate limits.
+    assert!(bytes <= 13 << 10, "{bytes} bytes");
+    let mut learner = CrashEvidence::default();
+    learner.merge(&facts, Duration::ZERO, at(50_000));
+    assert_eq!(names(&learner), ["bad"], "what supports a quarantine is told first");
+}
