--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -9,8 +9,9 @@
 //! most moments is quarantined, and what it explains no longer counts against others. Instances exchange
 //! [`crash_facts::CrashFacts`], and reach the same verdict from the same facts.
 //!
-//! The same evidence finds a request that crashes every endpoint which runs it, and that comes again with the same content
-//! at any instance. Its suspects are the contents of requests instead of segments, see [`CrashEvidence::of_requests`].
+//! The same evidence finds a request that crashes every endpoint which runs it, and that comes again with the same
+//! content at any instance. Its suspects are the contents of requests instead of segments, see
+//! [`CrashEvidence::of_requests`].
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,8 +42,8 @@
 const MAX_SEGMENTS: usize = 32;
 /// Length up to which identifiers of segments are told apart, in bytes.
 const MAX_SEGMENT_BYTES: usize = 64;
-/// Upper bound of the encoded length of the facts told at once, so that those about segments and those about requests fit
-/// into one datagram.
+/// Upper bound of the encoded length of the facts told at once, so that those about segments and those about requests
+/// fit into one datagram.
 const MAX_FACTS_BYTES: usize = 12 << 10;
 /// Upper bound of the number of segments whose last proof is kept.
 const MAX_PROVED: usize = 4_096;
@@ -197,8 +198,8 @@
         self.judge(now);
     }
 
-    /// Returns what to tell other instances, up to [`MAX_FACTS_BYTES`]. Crashes that support a quarantine come first, then
-    /// the newest.
+    /// Returns what to tell other instances, up to [`MAX_FACTS_BYTES`]. Crashes that support a quarantine come first,
+    /// then the newest.
     pub fn facts(&self, now: time::Time) -> crash_facts::CrashFacts {
         let now = shifted(now);
         let mut by_weight: Vec<&crash::Crash> = self.crashes.iter().collect();
--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -5,8 +5,8 @@
 //! budget however requests are spread over the instances, and no coordination is needed.
 //!
 //! A process doesn't know what its predecessor, a former process of its instance, has spent. For the length of a window
-//! and a silence after its start, it therefore uses a smaller part of its share, which is free even if the predecessor used
-//! all of its own at its end.
+//! and a silence after its start, it therefore uses a smaller part of its share, which is free even if the predecessor
+//! used all of its own at its end.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -35,7 +35,8 @@
 
 /// Part of the share that an instance uses, so that the budget also holds in windows that begin at other times.
 const USABLE_SHARE: f64 = 0.7;
-/// The same for a process that started within the window and may have had a predecessor. Both parts together are the whole share.
+/// The same for a process that started within the window and may have had a predecessor. Both parts together are the
+/// whole share.
 const USABLE_SHARE_AFTER_START: f64 = 0.3;
 
 /// Longest time for which a silent link holds back what was sent. Connections with unacknowledged data are closed then.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -87,7 +87,8 @@
         info!(cx.log, "attempt failed";
             "request" => self.call.id(), "endpoint" => endpoint, "why" => why, "next" => format!("{next:?}"),
             "sent" => self.attempts.sent_count(), "segments" => self.call.head.shared_segments.join(","),
-            "content" => self.call.content.as_ref(), "under_way" => endpoint.map(|id| cx.placement.borrow().in_flight(id, now)),
+            "content" => self.call.content.as_ref(),
+            "under_way" => endpoint.map(|id| cx.placement.borrow().in_flight(id, now)),
             "ms" => now.since(self.call.started).as_millis() as u64);
     }
 }
@@ -147,8 +148,8 @@
     }
 }
 
-/// Charges a repeated attempt of `call` to this instance's share of the retry budget of `service`. Returns `false` if the
-/// share is used up.
+/// Charges a repeated attempt of `call` to this instance's share of the retry budget of `service`. Returns `false` if
+/// the share is used up.
 fn spend_retry(cx: &context::GatewayContext, call: &handle::Call, service: &Arc<str>, now: time::Time) -> bool {
     let sharers = sharers(cx, now);
     cx.retry_shares.with(service, |share| {
--- a/crates/node/src/entry/peers.rs
+++ b/crates/node/src/entry/peers.rs
@@ -154,8 +154,8 @@
     Some(peer_info)
 }
 
-/// Exchanges with a peer what both know of crashes of endpoints, unless this entry knows of none. An entry that knows of
-/// some contacts this one itself.
+/// Exchanges with a peer what both know of crashes of endpoints, unless this entry knows of none. An entry that knows
+/// of some contacts this one itself.
 async fn exchange_crashes(client: &entry_control::EntryControlClient, cx: &context::EntryContext) {
     let facts = cx.crash_facts();
     if facts.crashes.is_empty() {
--- a/tests/all/crashing_calls.rs
+++ b/tests/all/crashing_calls.rs
@@ -33,8 +33,8 @@
     addr
 }
 
-/// Responds to one request. Returns `false` if it is the crashing one, and drops the connection without a response after
-/// the listener.
+/// Responds to one request. Returns `false` if it is the crashing one, and drops the connection without a response
+/// after the listener.
 fn respond(stream: TcpStream, crashes: &AtomicUsize) -> bool {
     let mut reader = BufReader::new(stream);
     let (mut line, mut length) = (String::new(), 0);
