Don't hold cuts against the requests that they catch

Callers whose stream was caught by a cut could be refused for its content when they came back.

Cause: a cut that resets connections looks like a crash of each endpoint behind it, since these refuse connections too. A stream was sent over it, broke, was repeated over an idle connection that the cut had broken as well, and broke again two milliseconds later: two crashes of the request.

Change: a connection that was idle and breaks within a round trip may have been broken before the request, and is no evidence; the request goes on over a fresh connection, which is. And crashes within half a second count against a request only if most of the endpoints had it, each of them once.

Tests: requests_at_endpoints_that_are_cut_off_together_are_not_quarantined failed before; a_broken_connection_says_something_of_the_request. The tests of crashing requests and segments pass as before.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -22,16 +22,15 @@
 /// Time for which an answer must have been written to prove that its segments are sound. An endpoint crashes within a
 /// few passes of the group.
 const SOUND_ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Longest time until a connection that had broken before a request was sent shows that.
+const MAX_ROUND_TRIP: Duration = Duration::from_millis(30);
 /// Number of moments with crashes that quarantine a segment that no answer has proved sound.
 const MIN_MOMENTS: usize = 2;
 /// The same for a segment that was proved sound before the crashes, or that most endpoints which crashed at the same
 /// moments did not have.
 const MIN_WEAK_MOMENTS: usize = 4;
-/// Period within which crashes belong to one moment if the suspects are segments. They may have one cause and are not
-/// independent evidence.
-const SEGMENTS_MOMENT: Duration = Duration::from_millis(500);
-/// The same for requests. A request is at one endpoint at a time, so that it was sent again after the first crash.
-const REQUESTS_MOMENT: Duration = Duration::ZERO;
+/// Period within which crashes belong to one moment. They may have one cause and are not independent evidence.
+const MOMENT: Duration = Duration::from_millis(500);
 /// Age at which crashes and proofs are forgotten. A quarantine ends by this.
 const MEMORY: Duration = Duration::from_secs(600);
 /// Upper bound of the number of crashes kept.
@@ -54,8 +53,9 @@
 /// All evidence of crashes that an instance has, and the verdict that follows from it.
 #[derive(Debug, Clone)]
 pub struct CrashEvidence {
-    /// Period within which crashes belong to one moment.
-    moment: Duration,
+    /// Whether each crash of a moment counts, if most of them had the suspect. A request is at one endpoint at a time, so
+    /// that it was sent again after the first crash.
+    counts_each_crash: bool,
     /// At most [`MAX_CRASHES`], with [`MAX_SUSPECTS`] each.
     crashes: Vec<crash::Crash>,
     /// Number of reports of this instance that were news to it.
@@ -91,22 +91,28 @@
     is_complete || written_for >= SOUND_ANSWER_TIME
 }
 
+/// Returns whether a response that broke off is evidence of a crash under its request. An idle connection may have broken
+/// before the request was sent, which shows within a round trip.
+pub fn is_decisive(is_fresh_connection: bool, waited: Duration) -> bool {
+    is_fresh_connection || waited >= MAX_ROUND_TRIP
+}
+
 impl Default for CrashEvidence {
     /// Creates evidence against segments of prompts.
     fn default() -> Self {
-        Self::with_moment(SEGMENTS_MOMENT)
+        Self::empty(false)
     }
 }
 
 impl CrashEvidence {
     /// Creates evidence against the contents of requests.
     pub fn of_requests() -> Self {
-        Self::with_moment(REQUESTS_MOMENT)
+        Self::empty(true)
     }
 
-    fn with_moment(moment: Duration) -> Self {
+    fn empty(counts_each_crash: bool) -> Self {
         Self {
-            moment,
+            counts_each_crash,
             crashes: Vec::new(),
             own_reports: 0,
             own_proofs: Vec::new(),
@@ -340,7 +346,7 @@
         let mut tallies: Vec<crash_tally::Tally> = Vec::new();
         let mut rest = crashes;
         while let Some(first) = rest.first() {
-            let (moment, later) = rest.split_at(rest.partition_point(|c| c.at.since(first.at) <= self.moment));
+            let (moment, later) = rest.split_at(rest.partition_point(|c| c.at.since(first.at) <= MOMENT));
             rest = later;
             for (segment, count) in self.suspects_of(moment) {
                 let at = tallies
@@ -354,7 +360,8 @@
                 tally.moments.push(first.at);
                 // Most crashes of a moment have one cause, such as the loss of a failure domain.
                 if 2 * count > moment.len() {
-                    tally.blamed_at.push(first.at);
+                    let units = if self.counts_each_crash { count } else { 1 };
+                    tally.blamed_at.extend(std::iter::repeat_n(first.at, units));
                 }
             }
         }
--- a/crates/core/src/direct/crash_tally.rs
+++ b/crates/core/src/direct/crash_tally.rs
@@ -11,7 +11,8 @@
     pub(super) crashes: usize,
     /// The moments at which an endpoint crashed, in order.
     pub(super) moments: Vec<time::Time>,
-    /// The moments at which most of the endpoints that crashed had the segment, in order.
+    /// The moments at which most of the endpoints that crashed had the segment, in order. A moment stands there as often as
+    /// it counts.
     pub(super) blamed_at: Vec<time::Time>,
 }
 
--- a/crates/core/tests/direct_crash_evidence.rs
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use sycamorestile_core::direct::crash_evidence::{CrashEvidence, bounded_segments, is_proof};
+use sycamorestile_core::direct::crash_evidence::{CrashEvidence, bounded_segments, is_decisive, is_proof};
 use sycamorestile_core::direct::crash_facts::CrashFacts;
 use sycamorestile_core::time::Time;
 
@@ -313,3 +313,32 @@
     learner.merge(&facts, Duration::ZERO, at(50_000));
     assert_eq!(names(&learner), ["bad"], "what supports a quarantine is told first");
 }
+
+#[test]
+fn requests_at_endpoints_that_are_cut_off_together_are_not_quarantined() {
+    let mut evidence = CrashEvidence::of_requests();
+    for n in 0..8_u64 {
+        crash(
+            &mut evidence,
+            &format!("m-{n}"),
+            &[format!("r-{n}").as_str()],
+            1_000 + n,
+        );
+    }
+    // It moved from one of the endpoints to another one.
+    crash(&mut evidence, "m-0", &["moved"], 1_010);
+    crash(&mut evidence, "m-1", &["moved"], 1_012);
+    assert!(names(&evidence).is_empty());
+}
+
+#[rstest]
+#[case::new_or_recently_used(true, 2, true)]
+#[case::idle_and_broken_at_once(false, 2, false)]
+#[case::idle_and_broken_later(false, 80, true)]
+fn a_broken_connection_says_something_of_the_request(
+    #[case] is_fresh: bool,
+    #[case] waited_ms: u64,
+    #[case] expected: bool,
+) {
+    assert_eq!(is_decisive(is_fresh, Duration::from_millis(waited_ms)), expected);
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use slog::info;
-use sycamorestile_core::direct::{access, attempts, endpoint, response_class, route};
+use sycamorestile_core::direct::{access, attempts, crash_evidence, endpoint, response_class, route};
 use sycamorestile_core::problem;
 use sycamorestile_table::boot_clock;
 use tokio::time;
@@ -132,7 +132,8 @@
     };
     req_cx.tried.push(Arc::clone(&endpoint.id));
     let is_unsafe = req_cx.call.grant.route.kind == route::RouteKind::Unsafe;
-    let lease = match cx.pool.lease(&endpoint, is_unsafe).await {
+    let require_recent = is_unsafe || req_cx.needs_fresh_connection;
+    let lease = match cx.pool.lease(&endpoint, require_recent).await {
         Ok(lease) => lease,
         Err(e) => {
             cx.placement
@@ -203,7 +204,11 @@
                 ));
             }
             let next = req_cx.attempts.lost();
-            crash_watch::examine_broken_response(cx, req_cx, &slot.endpoint, Duration::ZERO).await;
+            if crash_evidence::is_decisive(lease.is_fresh, boot_clock::now().since(now)) {
+                crash_watch::examine_broken_response(cx, req_cx, &slot.endpoint, Duration::ZERO).await;
+            } else {
+                req_cx.needs_fresh_connection = true;
+            }
             let why = if req_cx.endpoint_crashed {
                 "endpoint crashed"
             } else {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -83,6 +83,8 @@
     addr: SocketAddr,
     /// Whether the connection was opened for this request.
     pub(crate) is_new: bool,
+    /// Whether the connection is new or was used a moment ago, so that it hardly broke before the request.
+    pub(crate) is_fresh: bool,
 }
 
 impl Pool {
@@ -95,8 +97,8 @@
         endpoint: &endpoint::Endpoint,
         require_recent: bool,
     ) -> Result<Lease, ConnectError> {
-        if let Some(connection) = self.take_idle(endpoint, require_recent) {
-            return Ok(self.new_lease(endpoint, connection, false));
+        if let Some((connection, is_fresh)) = self.take_idle(endpoint, require_recent) {
+            return Ok(self.new_lease(endpoint, connection, false, is_fresh));
         }
         let connecting = timer::timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.addr)).await;
         let stream = connecting
@@ -114,7 +116,7 @@
             // The request that uses the connection sees the error too.
             let _ended = driver.await;
         });
-        Ok(self.new_lease(endpoint, Connection { sender, driver }, true))
+        Ok(self.new_lease(endpoint, Connection { sender, driver }, true, true))
     }
 
     /// Returns whether `endpoint` refuses a new connection, since its process has ended. An endpoint that can't be
@@ -146,27 +148,29 @@
         }
     }
 
-    /// Takes the most recently used connection to `endpoint` from the pool.
-    fn take_idle(&self, endpoint: &endpoint::Endpoint, require_recent: bool) -> Option<Connection> {
+    /// Takes the most recently used connection to `endpoint` from the pool, and tells whether it was used a moment ago.
+    fn take_idle(&self, endpoint: &endpoint::Endpoint, require_recent: bool) -> Option<(Connection, bool)> {
         let now = boot_clock::now();
         let mut idle = self.idle.borrow_mut();
         let at = idle.binary_search_by(|(id, _)| id.cmp(&endpoint.id)).ok()?;
         let connections = &mut idle[at].1;
         connections.retain(|c| now < c.until && c.addr == endpoint.addr && c.connection.sender.is_ready());
         let newest = connections.last()?;
-        if require_recent && now.since(newest.since) > MAX_RECENT_IDLE {
+        let is_fresh = now.since(newest.since) <= MAX_RECENT_IDLE;
+        if require_recent && !is_fresh {
             return None;
         }
-        connections.pop().map(|c| c.connection)
+        connections.pop().map(|c| (c.connection, is_fresh))
     }
 
-    fn new_lease(&self, endpoint: &endpoint::Endpoint, connection: Connection, is_new: bool) -> Lease {
+    fn new_lease(&self, endpoint: &endpoint::Endpoint, connection: Connection, is_new: bool, is_fresh: bool) -> Lease {
         Lease {
             idle: Rc::clone(&self.idle),
             connection,
             id: Arc::clone(&endpoint.id),
             addr: endpoint.addr,
             is_new,
+            is_fresh,
         }
     }
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -35,6 +35,7 @@
         attempts: attempts::RequestAttempts::new(route.kind, route.max_attempts),
         tried: Vec::new(),
         last_failure: "none",
+        needs_fresh_connection: false,
         endpoint_crashed: false,
         detail: String::new(),
         first_byte_after: None,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -48,6 +48,8 @@
     pub(crate) tried: Vec<Arc<str>>,
     /// Why the last attempt failed.
     pub(crate) last_failure: &'static str,
+    /// Whether a connection broke in a way that doesn't tell whether its endpoint crashed under the request.
+    pub(crate) needs_fresh_connection: bool,
     /// Whether an endpoint crashed when it had just begun the request.
     pub(crate) endpoint_crashed: bool,
     /// The reason for a refusal before the first attempt.
