Name how long a leased connection had been idle by a type

Two flags stood for three cases: opened for this request, used a moment ago, idle for longer. No behaviour changes; the hosted tests of crashes and calls pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -150,7 +150,7 @@
             return Ok(failed(req_cx.attempts.not_sent(), why));
         }
     };
-    if lease.is_new {
+    if lease.idle_time == pool::IdleTime::None {
         cx.metrics.record_connect();
     }
     // The key may have been revoked or the route may have changed while the connection was being established.
@@ -204,7 +204,8 @@
                 ));
             }
             let next = req_cx.attempts.lost();
-            if crash_evidence::is_decisive(lease.is_fresh, boot_clock::now().since(now)) {
+            let is_fresh = lease.idle_time != pool::IdleTime::Long;
+            if crash_evidence::is_decisive(is_fresh, boot_clock::now().since(now)) {
                 crash_watch::examine_broken_response(cx, req_cx, &slot.endpoint, Duration::ZERO).await;
             } else {
                 req_cx.needs_fresh_connection = true;
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -29,7 +29,7 @@
 
 impl Suspect {
     /// Returns the name for log messages and problems.
-    pub(crate) fn name(self) -> &'static str {
+    fn name(self) -> &'static str {
         match self {
             Self::Segment => "segment",
             Self::Request => "request",
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -75,16 +75,24 @@
     idle: IdleConnections,
 }
 
+/// How long a connection had been idle before it was leased.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum IdleTime {
+    /// The connection was opened for this request.
+    None,
+    /// At most [`MAX_RECENT_IDLE`], so that it hardly broke before the request.
+    Recent,
+    /// Longer.
+    Long,
+}
+
 /// A connection in use. It is closed when dropped, unless it is [returned to the pool](Lease::return_to_pool).
 pub(crate) struct Lease {
     idle: IdleConnections,
     connection: Connection,
     id: Arc<str>,
     addr: SocketAddr,
-    /// Whether the connection was opened for this request.
-    pub(crate) is_new: bool,
-    /// Whether the connection is new or was used a moment ago, so that it hardly broke before the request.
-    pub(crate) is_fresh: bool,
+    pub(crate) idle_time: IdleTime,
 }
 
 impl Pool {
@@ -97,8 +105,8 @@
         endpoint: &endpoint::Endpoint,
         require_recent: bool,
     ) -> Result<Lease, ConnectError> {
-        if let Some((connection, is_fresh)) = self.take_idle(endpoint, require_recent) {
-            return Ok(self.new_lease(endpoint, connection, false, is_fresh));
+        if let Some((connection, idle_time)) = self.take_idle(endpoint, require_recent) {
+            return Ok(self.new_lease(endpoint, connection, idle_time));
         }
         let connecting = timer::timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.addr)).await;
         let stream = connecting
@@ -116,7 +124,7 @@
             // The request that uses the connection sees the error too.
             let _ended = driver.await;
         });
-        Ok(self.new_lease(endpoint, Connection { sender, driver }, true, true))
+        Ok(self.new_lease(endpoint, Connection { sender, driver }, IdleTime::None))
     }
 
     /// Returns whether `endpoint` refuses a new connection, since its process has ended. An endpoint that can't be
@@ -148,29 +156,32 @@
         }
     }
 
-    /// Takes the most recently used connection to `endpoint` from the pool, and tells whether it was used a moment ago.
-    fn take_idle(&self, endpoint: &endpoint::Endpoint, require_recent: bool) -> Option<(Connection, bool)> {
+    /// Takes the most recently used connection to `endpoint` from the pool.
+    fn take_idle(&self, endpoint: &endpoint::Endpoint, require_recent: bool) -> Option<(Connection, IdleTime)> {
         let now = boot_clock::now();
         let mut idle = self.idle.borrow_mut();
         let at = idle.binary_search_by(|(id, _)| id.cmp(&endpoint.id)).ok()?;
         let connections = &mut idle[at].1;
         connections.retain(|c| now < c.until && c.addr == endpoint.addr && c.connection.sender.is_ready());
         let newest = connections.last()?;
-        let is_fresh = now.since(newest.since) <= MAX_RECENT_IDLE;
-        if require_recent && !is_fresh {
+        let idle_time = if now.since(newest.since) <= MAX_RECENT_IDLE {
+            IdleTime::Recent
+        } else {
+            IdleTime::Long
+        };
+        if require_recent && idle_time == IdleTime::Long {
             return None;
         }
-        connections.pop().map(|c| (c.connection, is_fresh))
+        connections.pop().map(|c| (c.connection, idle_time))
     }
 
-    fn new_lease(&self, endpoint: &endpoint::Endpoint, connection: Connection, is_new: bool, is_fresh: bool) -> Lease {
+    fn new_lease(&self, endpoint: &endpoint::Endpoint, connection: Connection, idle_time: IdleTime) -> Lease {
         Lease {
             idle: Rc::clone(&self.idle),
             connection,
             id: Arc::clone(&endpoint.id),
             addr: endpoint.addr,
-            is_new,
-            is_fresh,
+            idle_time,
         }
     }
 }
