Compare the identifier of a request's content with a fixed value

It now names the value, which also holds gateways of different builds together. The nine tests of the file pass.

--- a/crates/core/tests/direct_request_content.rs
+++ b/crates/core/tests/direct_request_content.rs
@@ -27,6 +27,6 @@
 
 #[test]
 fn identifier_is_the_same_at_all_instances() {
-    assert_eq!(CONTENT.identifier(), CONTENT.identifier());
-    assert_eq!(CONTENT.identifier().len(), 16);
+    // Instances of different builds must agree, so that the value may not change.
+    assert_eq!(CONTENT.identifier().as_ref(), "7dc86a9c8edb0ce4");
 }
