--- a/crates/core/tests/direct_retry_share.rs
+++ b/crates/core/tests/direct_retry_share.rs
@@ -81,6 +81,10 @@
         closed_connections: false,
         list_delay_ms: 100,
         silent_links: false,
+        joining: 0,
+        lost_rows: false,
+        overlap_ms: 0,
+        removed: 0,
     }
 }
 
@@ -170,3 +174,61 @@
     let excess = retry_days::max_excess(&day, seed);
     assert!(excess <= 0.0, "{excess} retries over the budget");
 }
+
+#[rstest]
+#[ignore = "see KNOWN-RED.txt"]
+fn instances_that_join_stay_within_the_retry_budget_together_with_running_ones(
+    #[values(6, 8, 47)] instances: usize,
+    #[values(2, 8, 40)] joining: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let day = retry_days::Day {
+        joining,
+        requests_per_second: 300.0,
+        ..retry_day(instances)
+    };
+    let excess = retry_days::max_excess(&day, seed);
+    assert!(excess <= 0.0, "{excess} retries over the budget");
+}
+
+#[rstest]
+#[ignore = "see KNOWN-RED.txt"]
+fn instances_whose_rows_are_lost_stay_within_the_retry_budget_after_restarts(
+    #[values(6, 8, 47)] instances: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let day = retry_days::Day {
+        restarts: true,
+        lost_rows: true,
+        ..retry_day(instances)
+    };
+    let excess = retry_days::max_excess(&day, seed);
+    assert!(excess <= 0.0, "{excess} retries over the budget");
+}
+
+#[rstest]
+#[ignore = "see KNOWN-RED.txt"]
+fn two_processes_of_an_instance_stay_within_the_retry_budget(
+    #[values(6, 8, 47)] instances: usize,
+    #[values(3_000, 8_000)] overlap_ms: u64,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let day = retry_days::Day {
+        restarts: true,
+        overlap_ms,
+        ..retry_day(instances)
+    };
+    let excess = retry_days::max_excess(&day, seed);
+    assert!(excess <= 0.0, "{excess} retries over the budget");
+}
+
+#[rstest]
+fn rows_of_removed_instances_keep_the_retry_budget(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let day = retry_days::Day {
+        restarts: true,
+        removed: 100,
+        ..retry_day(8)
+    };
+    let excess = retry_days::max_excess(&day, seed);
+    assert!(excess <= 0.0, "{excess} retries over the budget");
+}
--- a/crates/core/tests/retry_days/mod.rs
+++ b/crates/core/tests/retry_days/mod.rs
@@ -34,26 +34,49 @@
     pub list_delay_ms: u64,
     /// Whether the links of some instances hold back what they send, for as long as a connection may be silent.
     pub silent_links: bool,
+    /// Number of instances that join, many of them at once.
+    pub joining: usize,
+    /// Whether the rows of processes are lost, so that the next processes of their instances find none.
+    pub lost_rows: bool,
+    /// Time for which a killed process goes on beside the next one of its instance.
+    pub overlap_ms: u64,
+    /// Number of instances that were removed for good and whose rows are still in the table.
+    pub removed: usize,
 }
 
-struct Instance {
+/// Time after the start of an instance until running ones know it.
+const NEWS_DELAY_MS: u64 = 4_000;
+
+struct Process {
+    instance: usize,
     share: RetryShare,
     started_ms: u64,
+    /// When the process ends.
+    until_ms: u64,
+    /// Whether the table shows no former process of the instance.
+    is_first: bool,
 }
 
-impl Instance {
-    fn started_at(now_ms: u64) -> Self {
+impl Process {
+    fn new(instance: usize, started_ms: u64, is_first: bool) -> Self {
         Self {
-            share: RetryShare::new(LIMIT, Time::from_millis(now_ms)),
-            started_ms: now_ms,
+            instance,
+            share: RetryShare::new(LIMIT, Time::from_millis(started_ms)),
+            started_ms,
+            until_ms: u64::MAX,
+            is_first,
         }
     }
 
-    fn sharers(&self, day: &Day, now_ms: u64) -> Sharers {
+    /// Returns what the process knows at `now_ms` of the instances that joined at these times.
+    fn sharers(&self, day: &Day, joined_ms: &[u64], now_ms: u64) -> Sharers {
         let is_known = now_ms >= self.started_ms + day.list_delay_ms;
+        let knows = |at: u64| at < self.started_ms || at == 0 || at + NEWS_DELAY_MS <= now_ms;
+        let others = joined_ms.iter().enumerate();
+        let others = others.filter(|(n, at)| *n != self.instance && knows(**at)).count();
         Sharers {
-            instances: is_known.then_some(day.instances),
-            may_have_predecessor: self.started_ms > 0,
+            instances: is_known.then_some(1 + others + day.removed),
+            may_have_predecessor: !self.is_first,
         }
     }
 }
@@ -88,36 +111,51 @@
         .filter(|_| day.silent_links)
         .map(|span| (rng.random_range(0..day.instances), span))
         .collect();
-    let mut instances: Vec<Instance> = (0..day.instances).map(|_| Instance::started_at(0)).collect();
+    let mut processes: Vec<Process> = (0..day.instances).map(|n| Process::new(n, 0, true)).collect();
+    // Half of the instances join at one moment, the others one after the other.
+    let joining_ms = rng.random_range(0..END_MS / 2);
+    let joins: Vec<u64> = (0..day.joining as u64)
+        .map(|n| joining_ms + 500 * (2 * n).saturating_sub(day.joining as u64))
+        .collect();
+    let mut joined_ms = vec![0; day.instances];
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for now_ms in 0..END_MS {
         let now = Time::from_millis(now_ms);
+        processes.retain(|p| now_ms < p.until_ms);
+        for _ in joins.iter().filter(|at| **at == now_ms) {
+            processes.push(Process::new(joined_ms.len(), now_ms, true));
+            joined_ms.push(now_ms);
+        }
         for (_, share) in kills.iter().filter(|(at, _)| day.restarts && *at == now_ms) {
-            for instance in &mut instances {
+            for instance in 0..joined_ms.len() {
                 if rng.random_bool(share.min(1.0)) {
-                    *instance = Instance::started_at(now_ms);
+                    for former in processes.iter_mut().filter(|p| p.instance == instance) {
+                        former.until_ms = former.until_ms.min(now_ms + day.overlap_ms);
+                    }
+                    processes.push(Process::new(instance, now_ms, day.lost_rows));
                 }
             }
+            processes.retain(|p| now_ms < p.until_ms);
         }
         let factor = if is_within(&bursts, now_ms) { 3.0 } else { 1.0 };
         if !rng.random_bool((factor * day.requests_per_second / 1_000.0).min(1.0)) {
             continue;
         }
-        let index = rng.random_range(0..day.instances);
-        let instance = &mut instances[index];
+        let index = rng.random_range(0..processes.len());
+        let process = &mut processes[index];
         let silence = silences
             .iter()
-            .filter(|(at, span)| *at == index && is_within(&[*span], now_ms));
+            .filter(|(at, span)| *at == process.instance && is_within(&[*span], now_ms));
         let arrives_ms = silence.map(|(_, (_, to))| *to).max().unwrap_or(now_ms);
         requests.push(now_ms);
         let mut attempts = RequestAttempts::new(RouteKind::Safe, MAX_ATTEMPTS);
-        let sharers = instance.sharers(day, now_ms);
+        let sharers = process.sharers(day, &joined_ms, now_ms);
         let mut next = NextAttempt::Send { repeat: false };
         while let NextAttempt::Send { repeat } = next {
             if attempts.count_request() {
-                instance.share.record_request(now);
+                process.share.record_request(now);
             }
-            if repeat && !instance.share.try_spend(now, sharers) {
+            if repeat && !process.share.try_spend(now, sharers) {
                 break;
             }
             attempts.start();
