Send nothing to endpoints that leave or have asked for a pause

Asked for by the users: an endpoint that leaves says so in any of its answers, and one that turns a request away with 503 may name the time for which it wants nothing from that instance. Neither header was read.

A withdrawal is the word of one process of an endpoint, which its entry now tells by its start (born). Pure decisions: core::direct::withdrawals keeps them, core::direct::restrictions asks rate limits and withdrawals in one place, in the order that stands in its module doc. The time of a pause counts from the answer. A service without an open endpoint is refused at once, with the shortest pause left and jitter. A paused endpoint counts neither as failed nor as sound. Memory: what the table lists, and the 16,384 endpoints that were listed last for ten minutes.

Also: whether an endpoint is listed is looked up by binary search in each service; it was a scan of all endpoints for each of them in every round of datagrams, quadratic in their number.

--- a/crates/core/src/direct/endpoint.rs
+++ b/crates/core/src/direct/endpoint.rs
@@ -17,6 +17,9 @@
 pub struct Endpoint {
     /// Identifier of one run of the endpoint's process. A restarted process may reuse its former identifier.
     pub id: Arc<str>,
+    /// When that process started, in milliseconds since the Unix epoch, if it is known. Tells processes with the same
+    /// identifier apart.
+    pub started_at_ms: Option<u64>,
     /// Service that the endpoint belongs to.
     pub service: Arc<str>,
     /// Address for requests. Another service may reuse the address once this endpoint is gone.
--- a/crates/core/tests/direct_endpoint_set.rs
+++ b/crates/core/tests/direct_endpoint_set.rs
@@ -15,6 +15,7 @@
         failure_domain: Arc::from("a"),
         slots: 6,
         slowness_percent: 100,
+        started_at_ms: None,
         state,
     }
 }
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -20,6 +20,7 @@
         failure_domain: Arc::from(["a", "b", "c"][n % 3]),
         slots: 12,
         slowness_percent: 100,
+        started_at_ms: None,
         state: EndpointState::Ready,
     };
     (0..RANKS).map(|n| Arc::new(endpoint(n))).collect()
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use slog::info;
@@ -22,6 +22,7 @@
 use crate::request;
 use crate::reservation;
 use crate::response_body;
+use crate::withdrawal;
 
 /// The largest response that is buffered whole, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -108,23 +109,21 @@
         .route
         .target(random, usable)
         .ok_or(problem::ProblemKind::NoEndpoint)?;
-    let candidates = cx.allowed_endpoints(&snapshot, &target.service, now);
+    let endpoints = snapshot.endpoints_of(&target.service);
+    let candidates = cx.restrictions.borrow().allowed(endpoints, now);
     let domain = &cx.settings.failure_domain;
     let chosen = cx
         .placement
         .borrow()
         .choose(&candidates, &req_cx.tried, domain, cx.random_fraction(), now)
         .cloned();
-    let endpoint = chosen.ok_or_else(|| {
-        if cx.rate_limit_wait(&snapshot, &target.service, now).is_some() {
-            problem::ProblemKind::Overloaded
-        } else {
-            problem::ProblemKind::NoEndpoint
-        }
-    })?;
+    let Some(endpoint) = chosen else {
+        return Err(withdrawal::unavailability(cx, endpoints, now)
+            .map_or(problem::ProblemKind::NoEndpoint, |u| withdrawal::problem_kind(u.cause)));
+    };
     // Before a connection is opened, which would be for nothing if the budget allows no repeat.
     request::count_attempt(cx, req_cx, &endpoint.service)?;
-    cx.rate_limits.borrow_mut().spend(&endpoint.id, now);
+    cx.restrictions.borrow_mut().rate_limits.spend(&endpoint.id, now);
     cx.placement.borrow_mut().attempt_started(&endpoint.id);
     let slot = request::EndpointSlot {
         cx: Rc::clone(cx),
@@ -309,7 +308,15 @@
     };
     let now = boot_clock::now();
     let id = Arc::clone(&slot.endpoint.id);
-    if cx.rate_limits.borrow_mut().record(&id, head.rate_limit, now) {
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        withdrawal::record(cx, req_cx.call.id(), &slot.endpoint, head.notice, now);
+    }
+    let is_new_limit = cx
+        .restrictions
+        .borrow_mut()
+        .rate_limits
+        .record(&id, head.rate_limit, now);
+    if is_new_limit {
         info!(cx.log, "endpoint changed its rate limit"; "endpoint" => id.as_ref(), "per_second" => head.rate_limit);
         cx.fact_news.notify_one();
     }
@@ -321,7 +328,7 @@
         response_class::ResponseClass::Refused => {
             if head.failed_dependency.is_some() {
                 cx.outages.with(&slot.endpoint.service, |o| o.record_failure(&id, now));
-            } else {
+            } else if !head.notice.is_withdrawal() {
                 cx.placement.borrow_mut().record_refusal(&id, now);
             }
             tokio::task::spawn_local(discard_refusal(lease, parts.headers, head, body));
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,6 +1,5 @@
 //! State that the tasks of the traffic thread share.
 
-use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,9 +8,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
-use sycamorestile_core::direct::{
-    crash_evidence, drain, endpoint, outage, pacing, placement, rate_limits, retry_share,
-};
+use sycamorestile_core::direct::{crash_evidence, drain, outage, pacing, placement, restrictions, retry_share};
 use sycamorestile_core::time;
 use sycamorestile_table::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -19,7 +16,6 @@
 use crate::header_adapter;
 use crate::metrics;
 use crate::pool;
-use crate::request;
 use crate::service_map;
 use crate::settings;
 use crate::snapshot;
@@ -32,8 +28,8 @@
     pub(crate) header_adapter: header_adapter::HeaderAdapter,
     pub(crate) snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
     pub(crate) placement: RefCell<placement::Placement>,
-    /// The rate limits that endpoints name.
-    pub(crate) rate_limits: RefCell<rate_limits::RateLimits>,
+    /// What endpoints ask of this instance.
+    pub(crate) restrictions: RefCell<restrictions::Restrictions>,
     /// This instance's share of each service's retry budget.
     pub(crate) retry_shares: service_map::ServiceMap<retry_share::RetryShare>,
     pub(crate) outages: service_map::ServiceMap<outage::OutageDetector>,
@@ -72,39 +68,6 @@
         drain::accepts_requests(since, self.settings.stop_grace, timeout)
     }
 
-    /// Returns the endpoints of `service` to which their rate limits allow a request now.
-    pub(crate) fn allowed_endpoints<'a>(
-        &self,
-        snapshot: &'a snapshot::Snapshot,
-        service: &str,
-        now: time::Time,
-    ) -> Cow<'a, [Arc<endpoint::Endpoint>]> {
-        let endpoints = snapshot.endpoints_of(service);
-        let limits = self.rate_limits.borrow();
-        if !limits.is_any() {
-            return Cow::Borrowed(endpoints);
-        }
-        let allowed = endpoints.iter().filter(|e| limits.allows(&e.id, now));
-        Cow::Owned(allowed.cloned().collect())
-    }
-
-    /// Returns the time until the rate limit of any endpoint of `service` allows a request again, if they all have one.
-    pub(crate) fn rate_limit_wait(
-        &self,
-        snapshot: &snapshot::Snapshot,
-        service: &str,
-        now: time::Time,
-    ) -> Option<Duration> {
-        let limits = self.rate_limits.borrow();
-        let endpoints = snapshot.endpoints_of(service);
-        if endpoints.is_empty() || endpoints.iter().any(|e| limits.allows(&e.id, now)) {
-            return None;
-        }
-        let waits = endpoints.iter().filter_map(|e| limits.wait(&e.id, now));
-        // An instance that may send to none of them refers the caller to others.
-        Some(waits.min().unwrap_or(request::ENDPOINT_RETRY_AFTER))
-    }
-
     /// Returns a random number from 0 to 1.
     pub(crate) fn random_fraction(&self) -> f64 {
         self.rng.borrow_mut().random()
--- a/crates/gateway/src/fact_exchange.rs
+++ b/crates/gateway/src/fact_exchange.rs
@@ -55,7 +55,7 @@
             is_reply: false,
             crashes: cx.segment_crashes.borrow().facts(now),
             request_crashes: cx.request_crashes.borrow().facts(now),
-            limits: cx.rate_limits.borrow_mut().facts(now),
+            limits: cx.restrictions.borrow_mut().rate_limits.facts(now),
         }
     }
 
@@ -69,7 +69,11 @@
         let merge = |suspect, facts| crash_watch::update(cx, suspect, |evidence| evidence.merge(facts, elapsed, now));
         let crashes = merge(crash_watch::Suspect::Segment, &self.crashes);
         let request_crashes = merge(crash_watch::Suspect::Request, &self.request_crashes);
-        let limits = cx.rate_limits.borrow_mut().merge(&self.limits, elapsed, now);
+        let limits = cx
+            .restrictions
+            .borrow_mut()
+            .rate_limits
+            .merge(&self.limits, elapsed, now);
         crashes.and(request_crashes).and(limits)
     }
 }
@@ -104,7 +108,7 @@
         }
         let own_reports = cx.segment_crashes.borrow().own_reports()
             + cx.request_crashes.borrow().own_reports()
-            + cx.rate_limits.borrow().own_reports();
+            + cx.restrictions.borrow().rate_limits.own_reports();
         if own_reports != reports_written {
             reports_written = own_reports;
             write_row(&cx, &own_row);
@@ -118,7 +122,7 @@
         crash_watch::update(cx, suspect, |evidence| evidence.refresh(now));
     }
     let peers = cx.placement.borrow().live_peer_ids(now);
-    cx.rate_limits.borrow_mut().refresh(peers, now);
+    cx.restrictions.borrow_mut().rate_limits.refresh(peers, now);
 }
 
 /// Merges the facts of a peer's datagram, and replies if the peer lacks any that are known here.
--- a/crates/gateway/src/header_adapter.rs
+++ b/crates/gateway/src/header_adapter.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, StatusCode};
-use sycamorestile_core::direct::placement;
+use sycamorestile_core::direct::{placement, withdrawals};
 use thiserror::Error;
 
 /// The fields of a caller's request head that the gateway uses.
@@ -62,6 +62,8 @@
     pub load: Option<placement::ReportedLoad>,
     /// The number of requests per second that the endpoint takes from all instances together, if it is limited.
     pub rate_limit: Option<f64>,
+    /// Whether the endpoint takes further requests.
+    pub notice: withdrawals::Notice,
     /// Whether the response carries the signature header of an endpoint.
     pub is_authentic: bool,
     /// The address or identifier of the endpoint whose failure caused this one to refuse or fail.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod settings;
 mod snapshot;
 mod stream_forwarder;
+mod withdrawal;
 
 pub use error::GatewayError;
 pub use run::run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,11 @@
     reason: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: String,
+}
+
 /// The metrics of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -45,6 +50,11 @@
     crashes: Counter,
     quarantined_segments: Gauge,
     quarantined_requests: Gauge,
+    withheld_requests: Family<CauseLabels, Counter>,
+    pauses: Counter,
+    paused_endpoints: Gauge,
+    leaving_endpoints: Gauge,
+    forgotten_withdrawals: Counter,
     /// The organisations with their own label, sorted.
     organisations: RefCell<Vec<Arc<str>>>,
 }
@@ -95,6 +105,34 @@
             "Requests, by their content, that are quarantined because endpoints crash on them",
             quarantined_requests.clone(),
         );
+        let withheld_requests = Family::<CauseLabels, Counter>::default();
+        registry.register(
+            "withheld_requests",
+            "Requests refused because no endpoint takes requests from this instance, by cause",
+            withheld_requests.clone(),
+        );
+        let (pauses, forgotten_withdrawals) = (Counter::default(), Counter::default());
+        registry.register(
+            "endpoint_pauses",
+            "Pauses that endpoints have asked for",
+            pauses.clone(),
+        );
+        let (paused_endpoints, leaving_endpoints) = (Gauge::default(), Gauge::default());
+        registry.register(
+            "paused_endpoints",
+            "Endpoints that have asked for a pause that still runs",
+            paused_endpoints.clone(),
+        );
+        registry.register(
+            "leaving_endpoints",
+            "Endpoints that have said that they leave",
+            leaving_endpoints.clone(),
+        );
+        registry.register(
+            "forgotten_withdrawals",
+            "Withdrawals of unlisted endpoints that were forgotten for want of room",
+            forgotten_withdrawals.clone(),
+        );
         Self {
             registry,
             first_byte,
@@ -106,6 +144,11 @@
             crashes,
             quarantined_segments,
             quarantined_requests,
+            withheld_requests,
+            pauses,
+            paused_endpoints,
+            leaving_endpoints,
+            forgotten_withdrawals,
             organisations: RefCell::default(),
         }
     }
@@ -161,6 +204,30 @@
         self.quarantined_requests.set(count as i64);
     }
 
+    /// Counts a request that is refused because no endpoint takes requests from this instance.
+    pub(crate) fn record_withheld_request(&self, cause: &str) {
+        let labels = CauseLabels {
+            cause: cause.to_owned(),
+        };
+        self.withheld_requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts a pause that an endpoint has asked for.
+    pub(crate) fn record_pause(&self) {
+        self.pauses.inc();
+    }
+
+    /// Sets the number of paused and of leaving endpoints.
+    pub(crate) fn set_withdrawn(&self, paused: usize, leaving: usize) {
+        self.paused_endpoints.set(paused as i64);
+        self.leaving_endpoints.set(leaving as i64);
+    }
+
+    /// Counts withdrawals that were forgotten for want of room.
+    pub(crate) fn record_forgotten_withdrawals(&self, count: usize) {
+        self.forgotten_withdrawals.inc_by(count as u64);
+    }
+
     /// Returns all metrics in the text exposition format.
     pub(crate) fn text(&self) -> String {
         let mut buf = String::new();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 use crate::context;
 use crate::control;
 use crate::fact_exchange;
+use crate::withdrawal;
 
 /// The shortest time between two rounds of datagrams.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(100);
@@ -78,9 +79,10 @@
         last_in_flight = in_flight;
         last_read = own_read;
         let snapshot = cx.snapshot();
-        let known = |id: &str| snapshot.endpoints.iter().any(|e| e.id.as_ref() == id);
+        let known = |id: &str| snapshot.lists_endpoint(id);
         cx.placement.borrow_mut().retain_known(known, boot_clock::now());
         cx.pool.evict_idle(known);
+        withdrawal::refresh(&cx, boot_clock::now());
     }
 }
 
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -21,6 +21,7 @@
 use crate::request;
 use crate::response_body;
 use crate::stream_forwarder;
+use crate::withdrawal;
 
 /// The interval at which a delayed stream checks whether passes are short again.
 const PASS_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -118,11 +119,18 @@
             request::OUTAGE_RETRY_AFTER,
         ));
     }
-    if let Some(wait) = cx.rate_limit_wait(&snapshot, &target.service, now) {
-        let detail = "all endpoints have as many requests as their rate limits allow";
-        return Some(refuse::with_wait(cx, problem::ProblemKind::Overloaded, detail, wait));
+    let endpoints = snapshot.endpoints_of(&target.service);
+    if let Some(unavailability) = withdrawal::unavailability(cx, endpoints, now) {
+        let kind = withdrawal::problem_kind(unavailability.cause);
+        let wait = unavailability.wait.unwrap_or(request::ENDPOINT_RETRY_AFTER);
+        return Some(refuse::with_wait(
+            cx,
+            kind,
+            withdrawal::detail(unavailability.cause),
+            wait,
+        ));
     }
-    let allowed = cx.allowed_endpoints(&snapshot, &target.service, now);
+    let allowed = cx.restrictions.borrow().allowed(endpoints, now);
     let load = cx.placement.borrow().service_load(&allowed, now);
     match admission::admit_stream(&load) {
         admission::Admission::Admit => None,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -173,7 +173,7 @@
 pub(crate) fn can_move(cx: &context::GatewayContext, req_cx: &RequestContext, service: &Arc<str>) -> bool {
     let now = boot_clock::now();
     let snapshot = cx.snapshot();
-    let allowed = cx.allowed_endpoints(&snapshot, service, now);
+    let allowed = cx.restrictions.borrow().allowed(snapshot.endpoints_of(service), now);
     let has_other = cx.placement.borrow().has_usable(&allowed, &req_cx.tried, now);
     let sharers = sharers(cx, now);
     has_other && req_cx.attempts.may_abandon() && cx.retry_shares.with(service, |share| share.can_spend(now, sharers))
@@ -226,9 +226,10 @@
     if is_unavailable {
         return OUTAGE_RETRY_AFTER;
     }
-    target
-        .and_then(|t| cx.rate_limit_wait(&cx.snapshot(), &t.service, now))
-        .unwrap_or(ENDPOINT_RETRY_AFTER)
+    let snapshot = cx.snapshot();
+    let endpoints = target.map_or(&[][..], |t| snapshot.endpoints_of(&t.service));
+    let unavailability = cx.restrictions.borrow().unavailability(endpoints, now);
+    unavailability.and_then(|u| u.wait).unwrap_or(ENDPOINT_RETRY_AFTER)
 }
 
 /// Records the end of a request in metrics and the log, and returns its `response`.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,7 +7,7 @@
 
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info, warn};
-use sycamorestile_core::direct::{crash_evidence, drain, outage, pacing, placement, rate_limits, retry_share};
+use sycamorestile_core::direct::{crash_evidence, drain, outage, pacing, placement, restrictions, retry_share};
 use sycamorestile_table::{adapter, boot_clock};
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
@@ -80,7 +80,7 @@
         header_adapter,
         snapshots: control.snapshots,
         placement: RefCell::new(placement::Placement::default()),
-        rate_limits: RefCell::new(rate_limits::RateLimits::new(instance)),
+        restrictions: RefCell::new(restrictions::Restrictions::new(instance)),
         retry_shares: service_map::ServiceMap::new(move || retry_share::RetryShare::new(retry_limit, started)),
         outages: service_map::ServiceMap::new(outage::OutageDetector::default),
         pacings: service_map::ServiceMap::new(pacing::Pacing::default),
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -33,6 +33,19 @@
 }
 
 impl Snapshot {
+    /// Returns whether any service has the endpoint `id`.
+    pub(crate) fn lists_endpoint(&self, id: &str) -> bool {
+        let mut rest = self.endpoints.as_slice();
+        while let Some(first) = rest.first() {
+            let (of_service, others) = rest.split_at(rest.partition_point(|e| e.service <= first.service));
+            if of_service.binary_search_by(|e| e.id.as_ref().cmp(id)).is_ok() {
+                return true;
+            }
+            rest = others;
+        }
+        false
+    }
+
     /// Returns the endpoints of `service`.
     pub(crate) fn endpoints_of(&self, service: &str) -> &[Arc<endpoint::Endpoint>] {
         let begin = self.endpoints.partition_point(|e| e.service.as_ref() < service);
