Write a decisive crash to the table before its gateway can be killed

A run with the logs of both gateways shows why: the first crash is written at once, the second one, which decides the quarantine, waits for the rest of half a second, and all gateways are killed 150 ms after it. So nobody knows of it afterwards, and one more endpoint crashes. Ruled out: a write that fails (no such line), and the merge of rows (the first crash was known).

Change: four writes may follow each other at once, and four begin in two seconds at most; the rate over time is as before.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: follows the platform's table and publishes snapshots of its content.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -49,8 +50,11 @@
 /// The delay between attempts to write one of them.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// The shortest time between two writes of facts about endpoints.
-const MIN_FACTS_INTERVAL: Duration = Duration::from_millis(500);
+/// The number of writes of facts about endpoints that may follow each other at once. A fact that is decisive together with
+/// the one before must not wait, since all gateways may be killed meanwhile.
+const FACTS_BURST: usize = 4;
+/// The shortest time in which so many writes begin.
+const FACTS_BURST_TIME: Duration = Duration::from_secs(2);
 /// The interval at which a gateway reads the declarations while it relies on the reads that another gateway reports.
 const RELAYED_READ_INTERVAL: Duration = Duration::from_secs(25);
 /// The interval at which the age of the last confirmation is checked.
@@ -208,7 +212,15 @@
     log: Logger,
 ) {
     let mut client = client::Client::new(settings.table);
+    // When the last writes began, oldest first.
+    let mut begun = VecDeque::<time::Time>::with_capacity(FACTS_BURST);
     while value.changed().await.is_ok() {
+        if begun.len() == FACTS_BURST
+            && let Some(oldest) = begun.pop_front()
+        {
+            timer::sleep((oldest + FACTS_BURST_TIME).since(boot_clock::now())).await;
+        }
+        begun.push_back(boot_clock::now());
         loop {
             let newest = value.borrow_and_update().clone();
             let body = (adapter.write_body)(adapter::Topic::Facts, &settings.instance, &newest, None);
@@ -218,7 +230,6 @@
             }
             timer::sleep(PUBLISH_RETRY_DELAY).await;
         }
-        timer::sleep(MIN_FACTS_INTERVAL).await;
     }
 }
 
