Keep a quarantine when its crashes make room for others

What callers saw: with more than sixteen distinct requests that crash endpoints, each of them comes through again and again, and crashes one endpoint each time. Cause: a quarantine was a function of the crashes kept, 32 in number, two for each; the next crash evicted one and released its request. Class: a verdict that lasts as long as its evidence, in a memory whose size others decide.

Change: a quarantine whose crash is evicted is kept by itself (core::direct::verdicts), at a tenth of the room, told in datagrams in turn and in the row of the table, and ended as before: by an answer, after ten minutes, or when a segment explains its crashes. An answer that refutes a quarantine of others is told to them. The room is charged to organisations: none takes more than a quarter, and of the crashes those of the organisations that have fewest are kept. When requests of one organisation crash endpoints again and again, each further crash decides by itself, and they are not repeated after one. dropped_quarantines_total and a log line tell when there is no room.

--- a/crates/core/src/direct/crash.rs
+++ b/crates/core/src/direct/crash.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::crash_facts;
+use crate::direct::{crash_facts, owner};
 use crate::time;
 
 /// Period within which reports of one endpoint concern the same crash. An instance that was suspended reports late.
@@ -17,9 +17,17 @@
     pub(super) at: time::Time,
     /// Segments of the requests that the endpoint had just begun, sorted.
     pub(super) suspects: Vec<Arc<str>>,
+    /// The organisation whose request had each suspect, in the same order.
+    pub(super) owners: Vec<owner::Owner>,
 }
 
 impl Crash {
+    /// Returns the organisation whose request had `suspect`.
+    pub(super) fn owner_of(&self, suspect: &Arc<str>) -> Option<owner::Owner> {
+        let at = self.suspects.binary_search(suspect).ok()?;
+        self.owners.get(at).copied()
+    }
+
     /// Returns whether a report of `endpoint` at the time `at` concerns this crash.
     pub(super) fn is_same(&self, endpoint: &Arc<str>, at: time::Time) -> bool {
         self.endpoint == *endpoint && at.since(self.at).max(self.at.since(at)) < SAME_CRASH
--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -7,16 +7,18 @@
 //! A crash is evidence against the shared segments of all requests that the endpoint had just begun. An answer that was
 //! written for a while, or to its end, proves that all its segments are sound. The segment that explains crashes at the
 //! most moments is quarantined, and what it explains no longer counts against others. Instances exchange
-//! [`crash_facts::CrashFacts`], and reach the same verdict from the same facts.
+//! [`crash_facts::CrashFacts`], and reach the same verdict from the same facts. A quarantine whose crashes have to make room
+//! for others is kept without them.
 //!
 //! The same evidence finds a request that crashes every endpoint which runs it, and that comes again with the same
 //! content at any instance. Its suspects are the contents of requests instead of segments, see
 //! [`CrashEvidence::of_requests`].
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::{crash, crash_facts, crash_tally, merged, quarantine};
+use crate::direct::{crash, crash_facts, crash_tally, merged, owner, quarantine, verdicts};
 use crate::time;
 
 /// Time for which an answer must have been written to prove that its segments are sound. An endpoint crashes within a
@@ -32,9 +34,13 @@
 /// Period within which crashes belong to one moment. They may have one cause and are not independent evidence.
 const MOMENT: Duration = Duration::from_millis(500);
 /// Age at which crashes and proofs are forgotten. A quarantine ends by this.
-const MEMORY: Duration = Duration::from_secs(600);
+pub const MEMORY: Duration = Duration::from_secs(600);
 /// Upper bound of the number of crashes kept.
 const MAX_CRASHES: usize = 32;
+/// Number of crashes by requests of one organisation from which each further one is decisive.
+const MAX_CRASH_WEIGHT: usize = 16;
+/// Number of crashes of one moment that count for this.
+const MAX_WEIGHT_OF_MOMENT: usize = 6;
 /// Upper bound of the number of suspected segments kept for each crash.
 const MAX_SUSPECTS: usize = 16;
 /// Number of segments of one request that are considered.
@@ -44,6 +50,14 @@
 /// Upper bound of the encoded length of the facts told at once, so that those about segments and those about requests
 /// fit into one datagram.
 const MAX_FACTS_BYTES: usize = 12 << 10;
+/// The part of it for quarantines without crashes.
+const MAX_VERDICT_BYTES: usize = 3 << 10;
+/// Upper bound of the encoded length of such quarantines in a row of the table.
+const MAX_ROW_VERDICT_BYTES: usize = 15 << 10;
+/// Upper bound of the number of quarantines of others for which a refutation is told.
+const MAX_REFUTED: usize = 32;
+/// Upper bound of the number of endpoints kept for each quarantine.
+const MAX_ENDPOINTS: usize = 2;
 /// Upper bound of the number of segments whose last proof is kept.
 const MAX_PROVED: usize = 4_096;
 
@@ -66,7 +80,12 @@
     told_proofs: Vec<Proof>,
     /// Endpoints whose crashes something else explains, sorted.
     explained: Vec<Arc<str>>,
-    /// Sorted by suspect.
+    /// Quarantines whose crashes are gone, or some of them.
+    verdicts: verdicts::Verdicts,
+    /// Suspects that other instances hold a quarantine on although an answer here has shown since that they are sound. The
+    /// last one is the newest; at most [`MAX_REFUTED`].
+    refuted: Vec<Arc<str>>,
+    /// All that is quarantined, sorted by suspect.
     quarantined: Vec<quarantine::Quarantine>,
     /// Number of moments at which each segment may have caused a crash that no quarantined one explains, sorted by
     /// segment.
@@ -118,6 +137,8 @@
             own_proofs: Vec::new(),
             told_proofs: Vec::new(),
             explained: Vec::new(),
+            verdicts: verdicts::Verdicts::default(),
+            refuted: Vec::new(),
             quarantined: Vec::new(),
             suspicions: Vec::new(),
         }
@@ -132,15 +153,24 @@
             }
             record_latest(&mut self.own_proofs, segment, now);
         }
-        if segments.iter().any(|s| is_suspected(&self.crashes, s)) {
+        let is_held_against = |s: &Arc<str>| is_suspected(&self.crashes, s) || self.verdicts.contains(s);
+        if segments.iter().any(is_held_against) {
             self.judge(now);
         }
     }
 
-    /// Records that `endpoint` crashed when it had just begun a request with `segments`. Returns whether this is news.
-    pub fn record_crash(&mut self, endpoint: &Arc<str>, segments: &[Arc<str>], now: time::Time) -> bool {
+    /// Records that `endpoint` crashed when it had just begun a request of `owner` with `segments`. Returns whether this
+    /// is news.
+    pub fn record_crash(
+        &mut self,
+        endpoint: &Arc<str>,
+        segments: &[Arc<str>],
+        owner: owner::Owner,
+        now: time::Time,
+    ) -> bool {
         let now = shifted(now);
-        let is_news = self.add_crash(endpoint, segments, now);
+        let suspects = segments.iter().map(|s| (s, owner));
+        let is_news = self.add_crash(endpoint, suspects, now, now);
         self.own_reports += u64::from(is_news);
         self.judge(now);
         is_news
@@ -154,7 +184,7 @@
 
     /// Returns how long `quarantine` lasts.
     pub fn remaining(quarantine: &quarantine::Quarantine, now: time::Time) -> Duration {
-        quarantine.until.since(shifted(now))
+        (quarantine.decided_at + MEMORY).since(shifted(now))
     }
 
     /// Returns all quarantined segments, sorted.
@@ -190,37 +220,81 @@
         })
     }
 
+    /// Returns whether requests of `owner` crash so many endpoints that one whose endpoint crashed is not to be sent to another
+    /// one, which would only crash that as well: each crash that no other request may have caused is decisive then.
+    pub fn is_suspicious(&self, owner: owner::Owner) -> bool {
+        self.verdicts.is_share_used_up(owner) || self.crash_weight(owner) >= MAX_CRASH_WEIGHT
+    }
+
+    /// Returns how many crashes only requests of `owner` may have caused. At most [`MAX_WEIGHT_OF_MOMENT`] of a moment count,
+    /// since they may have one other cause.
+    fn crash_weight(&self, owner: owner::Owner) -> usize {
+        let is_alone = |c: &&crash::Crash| !c.owners.is_empty() && c.owners.iter().all(|o| *o == owner);
+        let mut times: Vec<time::Time> = self.crashes.iter().filter(is_alone).map(|c| c.at).collect();
+        times.sort_unstable();
+        let mut rest = times.as_slice();
+        let mut weight = 0;
+        while let Some(first) = rest.first() {
+            let (moment, later) = rest.split_at(rest.partition_point(|at| at.since(*first) <= MOMENT));
+            weight += moment.len().min(MAX_WEIGHT_OF_MOMENT);
+            rest = later;
+        }
+        weight
+    }
+
+    /// Returns how many quarantines have ended, or were not kept, for want of room.
+    pub fn dropped_quarantines(&self) -> u64 {
+        self.verdicts.dropped()
+    }
+
     /// Forgets what is too old and judges again. Call this regularly.
     pub fn refresh(&mut self, now: time::Time) {
         let now = shifted(now);
-        if self.crashes.is_empty() && self.own_proofs.is_empty() {
+        if self.crashes.is_empty() && self.own_proofs.is_empty() && self.verdicts.all().is_empty() {
             return;
         }
         self.crashes.retain(|c| now.since(c.at) < MEMORY);
         self.own_proofs.retain(|(_, at)| now.since(*at) < MEMORY);
-        let crashes = &self.crashes;
-        self.told_proofs
-            .retain(|(segment, at)| now.since(*at) < MEMORY && is_suspected(crashes, segment));
+        let (crashes, verdicts) = (&self.crashes, &self.verdicts);
+        self.told_proofs.retain(|(segment, at)| {
+            now.since(*at) < MEMORY && (is_suspected(crashes, segment) || verdicts.contains(segment))
+        });
         self.judge(now);
     }
 
-    /// Returns what to tell other instances, up to [`MAX_FACTS_BYTES`]. Crashes that support a quarantine come first,
-    /// then the newest.
-    pub fn facts(&self, now: time::Time) -> crash_facts::CrashFacts {
+    /// Returns what to tell other instances in a datagram, up to [`MAX_FACTS_BYTES`]. Crashes that support a quarantine
+    /// come first, then the newest.
+    pub fn facts(&mut self, now: time::Time) -> crash_facts::CrashFacts {
+        self.facts_within(now, MAX_VERDICT_BYTES)
+    }
+
+    /// Returns what to write to the table.
+    pub fn facts_for_table(&mut self, now: time::Time) -> crash_facts::CrashFacts {
+        self.facts_within(now, MAX_ROW_VERDICT_BYTES)
+    }
+
+    fn facts_within(&mut self, now: time::Time, max_verdict_bytes: usize) -> crash_facts::CrashFacts {
         let now = shifted(now);
+        let verdicts = self.verdicts.facts(now, max_verdict_bytes);
         let mut by_weight: Vec<&crash::Crash> = self.crashes.iter().collect();
         by_weight.sort_by_key(|c| std::cmp::Reverse((self.is_explained(c), c.at)));
-        let mut facts = crash_facts::CrashFacts::default();
+        let mut facts = crash_facts::CrashFacts {
+            proofs: self.proof_facts(&self.refuted, now),
+            verdicts,
+            verdict_count: self.verdicts.all().len(),
+            ..crash_facts::CrashFacts::default()
+        };
         let mut bytes = 0;
         for crash in by_weight {
             let fact = crash_facts::CrashFact {
                 endpoint: Arc::clone(&crash.endpoint),
                 age_ms: now.since(crash.at).as_millis() as u64,
                 suspects: crash.suspects.clone(),
+                owners: crash.owners.clone(),
             };
             let proofs = self.proof_facts(&crash.suspects, now);
             bytes += fact.encoded_len() + proofs.iter().map(crash_facts::ProofFact::encoded_len).sum::<usize>();
-            if bytes > MAX_FACTS_BYTES {
+            if bytes > MAX_FACTS_BYTES - MAX_VERDICT_BYTES {
                 break;
             }
             facts.crashes.push(fact);
@@ -255,56 +329,112 @@
             let age = Duration::from_millis(age_ms) + elapsed;
             (age < MEMORY).then(|| time::Time::from_micros(now.as_micros() - age.as_micros() as u64))
         };
-        let sender_lacks = self.crashes.iter().any(|c| !c.is_covered_by(facts, now, elapsed));
-        let mut learned = false;
+        let sender_lacks = self.crashes.iter().any(|c| !c.is_covered_by(facts, now, elapsed))
+            || facts.verdict_count < self.verdicts.all().len();
+        let (mut learned, mut refutes) = (false, false);
         for crash in &facts.crashes {
             if let Some(at) = time_of(crash.age_ms) {
-                learned |= self.add_crash(&crash.endpoint, &crash.suspects, at);
+                let owners = crash
+                    .owners
+                    .iter()
+                    .copied()
+                    .chain(std::iter::repeat(owner::Owner::default()));
+                learned |= self.add_crash(&crash.endpoint, crash.suspects.iter().zip(owners), at, now);
             }
         }
-        for proof in facts.proofs.iter().filter(|p| is_suspected(&self.crashes, &p.segment)) {
-            if let Some(at) = time_of(proof.age_ms) {
+        for verdict in &facts.verdicts {
+            match time_of(verdict.age_ms) {
+                Some(decided_at) if self.is_refuted(&verdict.suspect, decided_at) => refutes = true,
+                Some(decided_at) => learned |= self.adopt(verdict, decided_at, now),
+                None => {}
+            }
+        }
+        for proof in &facts.proofs {
+            let is_held_against = is_suspected(&self.crashes, &proof.segment) || self.verdicts.contains(&proof.segment);
+            if let Some(at) = time_of(proof.age_ms).filter(|_| is_held_against) {
                 record_latest(&mut self.told_proofs, &proof.segment, at);
             }
         }
         self.judge(now);
-        merged::Merged { learned, sender_lacks }
+        merged::Merged {
+            learned,
+            sender_lacks: sender_lacks || refutes,
+        }
+    }
+
+    /// Returns whether an answer has shown that `suspect` is sound since a quarantine that another instance tells was
+    /// decided. If this instance has seen the answer, it tells that from now on.
+    fn is_refuted(&mut self, suspect: &Arc<str>, decided_at: time::Time) -> bool {
+        if find(&self.own_proofs, suspect).is_some_and(|at| at > decided_at) && !self.refuted.contains(suspect) {
+            if self.refuted.len() >= MAX_REFUTED {
+                self.refuted.remove(0);
+            }
+            self.refuted.push(Arc::clone(suspect));
+        }
+        self.last_proof(suspect).is_some_and(|at| at > decided_at)
+    }
+
+    /// Takes over a quarantine that another instance told. Returns whether it is news.
+    fn adopt(&mut self, verdict: &crash_facts::VerdictFact, decided_at: time::Time, now: time::Time) -> bool {
+        let quarantine = quarantine::Quarantine {
+            suspect: Arc::clone(&verdict.suspect),
+            crashes: verdict.crashes,
+            owner: verdict.owner,
+            endpoints: verdict.endpoints.iter().take(MAX_ENDPOINTS).cloned().collect(),
+            decided_at,
+        };
+        self.verdicts.insert(quarantine, MEMORY, now)
     }
 
     /// Adds a crash, or the suspects of a known one. Returns whether anything was added.
-    fn add_crash(&mut self, endpoint: &Arc<str>, segments: &[Arc<str>], at: time::Time) -> bool {
+    fn add_crash<'a, I>(&mut self, endpoint: &Arc<str>, suspects: I, at: time::Time, now: time::Time) -> bool
+    where
+        I: IntoIterator<Item = (&'a Arc<str>, owner::Owner)>,
+    {
         let known = self.crashes.iter().position(|c| c.is_same(endpoint, at));
         let mut is_news = known.is_none();
         let index = known.unwrap_or_else(|| {
-            self.make_room();
+            self.make_room(now);
             self.crashes.push(crash::Crash {
                 endpoint: Arc::clone(endpoint),
                 at,
                 suspects: Vec::new(),
+                owners: Vec::new(),
             });
             self.crashes.len() - 1
         });
         let crash = &mut self.crashes[index];
         crash.at = crash.at.min(at);
-        for segment in segments {
+        for (segment, owner) in suspects {
             if let Err(at) = crash.suspects.binary_search(segment)
                 && crash.suspects.len() < MAX_SUSPECTS
             {
                 crash.suspects.insert(at, Arc::clone(segment));
+                crash.owners.insert(at, owner);
                 is_news = true;
             }
         }
         is_news
     }
 
-    /// Drops the oldest crash if there is no room for another, preferably one that supports no quarantine.
-    fn make_room(&mut self) {
+    /// Drops a crash if there is no room for another: preferably one that supports a quarantine, which is kept without it,
+    /// then one of the organisations that have most, then the oldest.
+    fn make_room(&mut self, now: time::Time) {
         if self.crashes.len() < MAX_CRASHES {
             return;
         }
-        let oldest = (0..self.crashes.len()).min_by_key(|&i| (self.is_explained(&self.crashes[i]), self.crashes[i].at));
-        if let Some(index) = oldest {
-            self.crashes.remove(index);
+        let count_of = |owner: &owner::Owner| self.crashes.iter().filter(|c| c.owners.contains(owner)).count();
+        let least_common = |c: &crash::Crash| c.owners.iter().map(count_of).min();
+        let victim = (0..self.crashes.len()).max_by_key(|&i| {
+            let crash = &self.crashes[i];
+            (self.is_explained(crash), least_common(crash), Reverse(crash.at))
+        });
+        let Some(index) = victim else { return };
+        let crash = self.crashes.swap_remove(index);
+        let explaining = |q: &&quarantine::Quarantine| crash.suspects.binary_search(&q.suspect).is_ok();
+        let quarantines: Vec<_> = self.quarantined.iter().filter(explaining).cloned().collect();
+        for quarantine in quarantines {
+            self.verdicts.insert(quarantine, MEMORY, now);
         }
     }
 
@@ -313,12 +443,28 @@
         self.quarantined.iter().any(|q| crash.suspects.contains(&q.suspect))
     }
 
+    /// Ends the kept quarantines that have lasted for [`MEMORY`], that an answer has refuted, or whose crashes something else
+    /// explains.
+    fn review_verdicts(&mut self, now: time::Time) {
+        let (own_proofs, told_proofs, explained) = (&self.own_proofs, &self.told_proofs, &self.explained);
+        self.verdicts.retain(|v| {
+            let last_proof = find(own_proofs, &v.suspect).max(find(told_proofs, &v.suspect));
+            let is_explained = |e: &Arc<str>| explained.binary_search(e).is_ok();
+            let has_other_cause = !v.endpoints.is_empty() && v.endpoints.iter().all(is_explained);
+            now.since(v.decided_at) < MEMORY && last_proof.is_none_or(|at| at <= v.decided_at) && !has_other_cause
+        });
+    }
+
     /// Determines what is quarantined.
     fn judge(&mut self, now: time::Time) {
-        let counts = |c: &&crash::Crash| now.since(c.at) < MEMORY && self.explained.binary_search(&c.endpoint).is_err();
+        self.review_verdicts(now);
+        let is_explained = |c: &crash::Crash| {
+            self.explained.binary_search(&c.endpoint).is_ok() || c.suspects.iter().any(|s| self.verdicts.contains(s))
+        };
+        let counts = |c: &&crash::Crash| now.since(c.at) < MEMORY && !is_explained(c);
         let mut unexplained: Vec<&crash::Crash> = self.crashes.iter().filter(counts).collect();
         unexplained.sort_unstable_by_key(|c| c.at);
-        let mut quarantined = Vec::new();
+        let mut quarantined = self.verdicts.all().to_vec();
         loop {
             let tallies = self.tallies(&unexplained);
             let is_guilty = |t: &&crash_tally::Tally| self.last_decisive(t).is_some();
@@ -326,21 +472,45 @@
             let rank = |t: &crash_tally::Tally| (self.last_proof(&t.segment).is_none(), t.blamed_at.len());
             let Some(worst) = tallies.iter().filter(is_guilty).map(rank).max() else {
                 self.suspicions = tallies.into_iter().map(|t| (t.segment, t.moments.len())).collect();
+                quarantined.extend(unexplained.iter().filter_map(|c| self.decided_alone(c)));
                 break;
             };
             let guilty: Vec<&crash_tally::Tally> =
                 tallies.iter().filter(is_guilty).filter(|t| rank(t) == worst).collect();
-            unexplained.retain(|c| !guilty.iter().any(|t| c.suspects.contains(&t.segment)));
-            quarantined.extend(guilty.into_iter().map(|t| quarantine::Quarantine {
-                suspect: Arc::clone(&t.segment),
-                crashes: t.crashes,
-                until: self.last_decisive(t).unwrap_or_default() + MEMORY,
+            quarantined.extend(guilty.iter().map(|t| {
+                let crashes = unexplained.iter().filter(|c| c.suspects.contains(&t.segment));
+                quarantine::Quarantine {
+                    suspect: Arc::clone(&t.segment),
+                    crashes: t.crashes,
+                    owner: crashes.clone().find_map(|c| c.owner_of(&t.segment)).unwrap_or_default(),
+                    endpoints: crashes.take(MAX_ENDPOINTS).map(|c| Arc::clone(&c.endpoint)).collect(),
+                    decided_at: self.last_decisive(t).unwrap_or_default(),
+                }
             }));
+            unexplained.retain(|c| !guilty.iter().any(|t| c.suspects.contains(&t.segment)));
         }
         quarantined.sort_by(|a, b| a.suspect.cmp(&b.suspect));
+        quarantined.dedup_by(|a, b| a.suspect == b.suspect);
         self.quarantined = quarantined;
     }
 
+    /// Returns the quarantine that `crash` decides alone, since no other request may have caused it and requests of the
+    /// same organisation crash many endpoints.
+    fn decided_alone(&self, crash: &crash::Crash) -> Option<quarantine::Quarantine> {
+        let [suspect] = crash.suspects.as_slice() else {
+            return None;
+        };
+        let owner = crash.owners.first()?;
+        let is_decisive = self.counts_each_crash && self.last_proof(suspect).is_none() && self.is_suspicious(*owner);
+        is_decisive.then(|| quarantine::Quarantine {
+            suspect: Arc::clone(suspect),
+            crashes: 1,
+            owner: *owner,
+            endpoints: vec![Arc::clone(&crash.endpoint)],
+            decided_at: crash.at,
+        })
+    }
+
     /// Counts what each segment may have caused, sorted by segment. `crashes` must be sorted by time.
     fn tallies(&self, crashes: &[&crash::Crash]) -> Vec<crash_tally::Tally> {
         let mut tallies: Vec<crash_tally::Tally> = Vec::new();
--- a/crates/core/src/direct/crash_facts.rs
+++ b/crates/core/src/direct/crash_facts.rs
@@ -4,10 +4,15 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::direct::{owner, quarantine};
+use crate::time;
+
 /// Upper bound of the length of a fact as JSON, without its identifiers.
 const FACT_BYTES: usize = 64;
 /// Length of what JSON puts around an identifier in a list.
 const IDENTIFIER_BYTES: usize = 3;
+/// Upper bound of the length of an owner in a list.
+const OWNER_BYTES: usize = 11;
 /// Upper bound of the length of a byte that JSON escapes.
 const ESCAPE_BYTES: usize = 6;
 
@@ -19,6 +24,12 @@
     /// Suspected segments that it has itself seen proved sound. The proofs of others are not passed on, since their age
     /// would shrink with each hop.
     pub proofs: Vec<ProofFact>,
+    /// Quarantines whose crashes it no longer knows, or some of them.
+    #[serde(default)]
+    pub verdicts: Vec<VerdictFact>,
+    /// Number of all such quarantines.
+    #[serde(default)]
+    pub verdict_count: usize,
 }
 
 /// A crash, as told to other instances.
@@ -30,6 +41,24 @@
     pub age_ms: u64,
     /// The segments that may have caused it.
     pub suspects: Vec<Arc<str>>,
+    /// The organisation whose request had each of them, in the same order. Gateways of earlier builds tell none.
+    #[serde(default)]
+    pub owners: Vec<owner::Owner>,
+}
+
+/// A quarantine, as told to other instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VerdictFact {
+    /// The quarantined segment, or the content of the quarantined requests.
+    pub suspect: Arc<str>,
+    /// The organisation that it is charged to.
+    pub owner: owner::Owner,
+    /// Number of crashes that it explains.
+    pub crashes: usize,
+    /// Some of the endpoints that crashed.
+    pub endpoints: Vec<Arc<str>>,
+    /// Age of the last crash without which there would be no quarantine, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// A proof that a segment is sound, as told to other instances.
@@ -45,7 +74,34 @@
     /// Returns an upper bound of the length of the fact as JSON.
     pub(super) fn encoded_len(&self) -> usize {
         let suspects = self.suspects.iter().map(|s| identifier_len(s));
-        FACT_BYTES + identifier_len(&self.endpoint) + suspects.sum::<usize>()
+        let owners = self.owners.len() * OWNER_BYTES;
+        FACT_BYTES + identifier_len(&self.endpoint) + suspects.sum::<usize>() + owners
+    }
+}
+
+impl VerdictFact {
+    /// Returns the fact about `quarantine` at the time `now` on the clock of the evidence.
+    pub(super) fn of(quarantine: &quarantine::Quarantine, now: time::Time) -> Self {
+        Self {
+            suspect: Arc::clone(&quarantine.suspect),
+            owner: quarantine.owner,
+            crashes: quarantine.crashes,
+            endpoints: quarantine.endpoints.clone(),
+            age_ms: now.since(quarantine.decided_at).as_millis() as u64,
+        }
+    }
+
+    /// Returns an upper bound of the length of the fact as JSON.
+    pub(super) fn encoded_len(&self) -> usize {
+        let endpoints = self.endpoints.iter().map(|e| identifier_len(e));
+        FACT_BYTES + OWNER_BYTES + identifier_len(&self.suspect) + endpoints.sum::<usize>()
+    }
+}
+
+impl CrashFacts {
+    /// Returns whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.verdicts.is_empty()
     }
 }
 
--- a/crates/core/src/direct/quarantine.rs
+++ b/crates/core/src/direct/quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::direct::owner;
 use crate::time;
 
 /// A quarantined suspect.
@@ -11,6 +12,10 @@
     pub suspect: Arc<str>,
     /// Number of crashes that it explains.
     pub crashes: usize,
-    /// When the quarantine ends if there are no further crashes, on the clock of the evidence.
-    pub(super) until: time::Time,
+    /// The organisation whose request was seen first.
+    pub(super) owner: owner::Owner,
+    /// Some of the endpoints that crashed.
+    pub(super) endpoints: Vec<Arc<str>>,
+    /// The time of the last crash without which there would be no quarantine, on the clock of the evidence.
+    pub(super) decided_at: time::Time,
 }
--- a/crates/core/tests/crash_days/mod.rs
+++ b/crates/core/tests/crash_days/mod.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sycamorestile_core::direct::crash_evidence::{CrashEvidence, is_proof};
+use sycamorestile_core::direct::owner::Owner;
 use sycamorestile_core::time::Time;
 
 const INSTANCES: usize = 8;
@@ -281,7 +282,8 @@
             if is_proof(written_for, false) || self.is_disturbed(instance, now_ms) {
                 continue;
             }
-            self.instances[instance].record_crash(&id, &response.segments, Time::from_millis(now_ms));
+            let now = Time::from_millis(now_ms);
+            self.instances[instance].record_crash(&id, &response.segments, Owner::default(), now);
             if self.cause == Cause::Request && !response.is_repeat {
                 self.start_response(Running {
                     began_ms: now_ms,
--- a/crates/core/tests/direct_crash_evidence.rs
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 use sycamorestile_core::direct::crash_evidence::{CrashEvidence, bounded_segments, is_decisive, is_proof};
 use sycamorestile_core::direct::crash_facts::CrashFacts;
+use sycamorestile_core::direct::owner::Owner;
 use sycamorestile_core::time::Time;
 
 /// Returns a time shortly after the clock's origin, as on a machine that has just been booted.
@@ -20,7 +21,7 @@
 }
 
 fn crash(evidence: &mut CrashEvidence, endpoint: &str, names: &[&str], ms: u64) -> bool {
-    evidence.record_crash(&Arc::from(endpoint), &segments(names), at(ms))
+    evidence.record_crash(&Arc::from(endpoint), &segments(names), Owner::default(), at(ms))
 }
 
 fn is_quarantined(evidence: &CrashEvidence, name: &str) -> bool {
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -83,7 +83,10 @@
     let now = boot_clock::now();
     let record = |suspect: Suspect| {
         let identifiers = suspect.identifiers(call);
-        !identifiers.is_empty() && update(cx, suspect, |e| e.record_crash(&endpoint.id, identifiers, now))
+        !identifiers.is_empty()
+            && update(cx, suspect, |e| {
+                e.record_crash(&endpoint.id, identifiers, call.owner(), now)
+            })
     };
     let is_news = record(Suspect::Segment) | record(Suspect::Request);
     info!(cx.log, "endpoint crashed at the beginning of a response";
@@ -109,14 +112,12 @@
 }
 
 /// Returns whether `call`, whose endpoint has crashed, may be sent to another one. A request without suspected segments
-/// is sent once more, which shows whether it is to blame.
+/// is sent once more, which shows whether it is to blame, unless those of its organisation crash many endpoints.
 pub(crate) fn allows_repeat(cx: &context::GatewayContext, call: &handle::Call) -> bool {
+    let requests = cx.request_crashes.borrow();
     cx.segment_crashes.borrow().allows_repeat(&call.head.shared_segments)
-        && cx
-            .request_crashes
-            .borrow()
-            .quarantined(Suspect::Request.identifiers(call))
-            .is_none()
+        && requests.quarantined(Suspect::Request.identifiers(call)).is_none()
+        && !requests.is_suspicious(call.owner())
 }
 
 /// Returns what `call` is quarantined for.
@@ -176,6 +177,7 @@
 {
     let mut evidence = suspect.evidence(cx).borrow_mut();
     let before = evidence.quarantines().to_vec();
+    let dropped_before = evidence.dropped_quarantines();
     let result = change(&mut evidence);
     let after = evidence.quarantines();
     let is_in = |list: &[quarantine::Quarantine], q: &quarantine::Quarantine| {
@@ -188,6 +190,11 @@
     for quarantine in before.iter().filter(|q| !is_in(after, q)) {
         info!(cx.log, "{} released", suspect.name(); suspect.log_key() => quarantine.suspect.as_ref());
     }
+    let dropped = evidence.dropped_quarantines() - dropped_before;
+    if dropped > 0 {
+        warn!(cx.log, "no room for all quarantines of {}s", suspect.name(); "dropped" => dropped);
+        cx.metrics.record_dropped_quarantines(dropped);
+    }
     match suspect {
         Suspect::Request => cx.metrics.set_quarantined_requests(after.len()),
         Suspect::Segment => cx.metrics.set_quarantined_segments(after.len()),
--- a/crates/gateway/src/fact_exchange.rs
+++ b/crates/gateway/src/fact_exchange.rs
@@ -48,19 +48,28 @@
 }
 
 impl EndpointFacts {
-    /// Returns all that this gateway knows.
+    /// Returns all that fits into a datagram.
     fn collect(cx: &context::GatewayContext) -> Self {
         let now = boot_clock::now();
         Self {
             is_reply: false,
-            crashes: cx.segment_crashes.borrow().facts(now),
-            request_crashes: cx.request_crashes.borrow().facts(now),
+            crashes: cx.segment_crashes.borrow_mut().facts(now),
+            request_crashes: cx.request_crashes.borrow_mut().facts(now),
             limits: cx.restrictions.borrow_mut().rate_limits.facts(now),
         }
     }
 
+    /// Returns all that fits into a row of the table.
+    fn collect_for_table(cx: &context::GatewayContext) -> Self {
+        let now = boot_clock::now();
+        let mut facts = Self::collect(cx);
+        facts.crashes = cx.segment_crashes.borrow_mut().facts_for_table(now);
+        facts.request_crashes = cx.request_crashes.borrow_mut().facts_for_table(now);
+        facts
+    }
+
     fn is_empty(&self) -> bool {
-        self.crashes.crashes.is_empty() && self.request_crashes.crashes.is_empty() && self.limits.is_empty()
+        self.crashes.is_empty() && self.request_crashes.is_empty() && self.limits.is_empty()
     }
 
     /// Merges these facts, which were told `elapsed` ago, into what this gateway knows.
@@ -168,7 +177,7 @@
 fn write_row(cx: &context::GatewayContext, own_row: &watch::Sender<Vec<u8>>) {
     let row = FactRow {
         written_at_ms: unix_ms(),
-        facts: EndpointFacts::collect(cx),
+        facts: EndpointFacts::collect_for_table(cx),
     };
     match serde_json::to_vec(&row) {
         Ok(value) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,7 @@
     crashes: Counter,
     quarantined_segments: Gauge,
     quarantined_requests: Gauge,
+    dropped_quarantines: Counter,
     withheld_requests: Family<CauseLabels, Counter>,
     pauses: Counter,
     paused_endpoints: Gauge,
@@ -105,6 +106,12 @@
             "Requests, by their content, that are quarantined because endpoints crash on them",
             quarantined_requests.clone(),
         );
+        let dropped_quarantines = Counter::default();
+        registry.register(
+            "dropped_quarantines",
+            "Quarantines that ended early or were not kept for want of room",
+            dropped_quarantines.clone(),
+        );
         let withheld_requests = Family::<CauseLabels, Counter>::default();
         registry.register(
             "withheld_requests",
@@ -144,6 +151,7 @@
             crashes,
             quarantined_segments,
             quarantined_requests,
+            dropped_quarantines,
             withheld_requests,
             pauses,
             paused_endpoints,
@@ -204,6 +212,11 @@
         self.quarantined_requests.set(count as i64);
     }
 
+    /// Counts quarantines that ended early or were not kept for want of room.
+    pub(crate) fn record_dropped_quarantines(&self, count: u64) {
+        self.dropped_quarantines.inc_by(count);
+    }
+
     /// Counts a request that is refused because no endpoint takes requests from this instance.
     pub(crate) fn record_withheld_request(&self, cause: &str) {
         let labels = CauseLabels {
--- a/crates/node/src/entry/call_driver.rs
+++ b/crates/node/src/entry/call_driver.rs
@@ -12,7 +12,7 @@
 use sycamorestile_core::claim;
 use sycamorestile_core::config::endpoint;
 use sycamorestile_core::decision_log;
-use sycamorestile_core::direct::request_content;
+use sycamorestile_core::direct::{owner, request_content};
 use sycamorestile_core::dispatcher;
 use sycamorestile_core::frame_order;
 use sycamorestile_core::name;
@@ -346,10 +346,11 @@
         let Some(active) = &self.active else { return };
         let endpoint: Arc<str> = Arc::from(active.endpoint.as_str());
         let contents = std::slice::from_ref(&self.content);
+        let owner = owner::Owner::new(Some(self.request.head.organisation.as_str()));
         let mut dispatcher = self.cx.dispatcher();
         dispatcher
             .crashes
-            .record_crash(&endpoint, contents, self.cx.clock.now());
+            .record_crash(&endpoint, contents, owner, self.cx.clock.now());
         warn!(self.cx.log, "endpoint crashed under a call";
             "call" => &*self.request.id, "endpoint" => endpoint.as_ref(), "content" => self.content.as_ref(),
             "quarantined" => dispatcher.crashes.quarantined(contents).is_some());
--- a/crates/node/src/entry/peers.rs
+++ b/crates/node/src/entry/peers.rs
@@ -158,7 +158,7 @@
 /// of some contacts this one itself.
 async fn exchange_crashes(client: &entry_control::EntryControlClient, cx: &context::EntryContext) {
     let facts = cx.crash_facts();
-    if facts.crashes.is_empty() {
+    if facts.is_empty() {
         return;
     }
     let exchange = client.exchange_crashes(tarpc::context::current(), facts);
