Bound the memory of all buffered request bodies together

What callers would see: all requests of a gateway cut, when its process is killed for its memory. 60 callers that each send 3 MB of a larger body take 193 MB in one gateway (the smallest instances have 160); 85 of them pass the 260 MB of front instances. The declared limit of a body is 4 MB, and each was buffered up to it without a bound for all together. Class: a memory that callers grow, bounded for one but not for all.

Change: bodies above 16 KB share 32 MB, held until the request has ended. One that finds no room is refused before it is sent anywhere, at once, with 503 bodies-full and when to come back; smaller bodies are served.

--- a/crates/core/src/problem.rs
+++ b/crates/core/src/problem.rs
@@ -65,6 +65,8 @@
     RequestQuarantined,
     /// The endpoint's process ended while it ran the call.
     EndpointCrashed,
+    /// The bodies of other calls take all the memory that the instance sets aside for them.
+    BodiesFull,
 }
 
 impl ProblemKind {
@@ -78,7 +80,8 @@
             Self::BodyTooLarge => 413,
             Self::KeyReused => 422,
             Self::LimitExceeded => 429,
-            Self::Overloaded
+            Self::BodiesFull
+            | Self::Overloaded
             | Self::NoEndpoint
             | Self::SegmentQuarantined
             | Self::RequestQuarantined
@@ -109,6 +112,7 @@
         matches!(
             self,
             Self::LimitExceeded
+                | Self::BodiesFull
                 | Self::Overloaded
                 | Self::NoEndpoint
                 | Self::SegmentQuarantined
@@ -135,6 +139,7 @@
             Self::BadDeadline => "bad-deadline",
             Self::BadBody => "bad-body",
             Self::BodyTooLarge => "body-too-large",
+            Self::BodiesFull => "bodies-full",
             Self::KeyReused => "key-reused",
             Self::LimitExceeded => "limit-exceeded",
             Self::Overloaded => "overloaded",
@@ -167,6 +172,7 @@
             Self::BadDeadline => "The deadline can't be read",
             Self::BadBody => "The body can't be read",
             Self::BodyTooLarge => "The body is too large",
+            Self::BodiesFull => "Bodies of other calls take all the memory set aside for them",
             Self::KeyReused => "The idempotency key belongs to another body",
             Self::LimitExceeded => "The organisation is over its limit",
             Self::Overloaded => "The endpoints can't meet the deadline",
--- a/crates/core/tests/problem.rs
+++ b/crates/core/tests/problem.rs
@@ -25,6 +25,7 @@
         problem::ProblemKind::Leaving,
         problem::ProblemKind::ClaimsUnavailable,
         problem::ProblemKind::NotReady,
+        problem::ProblemKind::BodiesFull,
         problem::ProblemKind::DeadlineBeforeStart,
     ];
     for kind in refusals {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -45,6 +45,8 @@
     pub(crate) metrics: metrics::Metrics,
     /// The number of bytes of larger responses that are buffered.
     pub(crate) buffered_bytes: Rc<Cell<usize>>,
+    /// The number of bytes of larger request bodies that are buffered.
+    pub(crate) request_body_bytes: Rc<Cell<usize>>,
     /// The number of requests whose responses are not yet fully written.
     pub(crate) in_flight: Rc<Cell<usize>>,
     /// The number of open connections to callers and to the monitoring address.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,6 +21,7 @@
 use crate::monitoring;
 use crate::proxy;
 use crate::refuse;
+use crate::reservation;
 use crate::response_body;
 
 /// The `Retry-After` of a refusal whose cause is transient, such as unconfirmed keys or missing endpoints.
@@ -33,6 +34,11 @@
 /// The largest part of a refused body that is read and discarded, in bytes.
 const MAX_DISCARDED_BYTES: usize = 64 << 20;
 
+/// The size up to which every request body is buffered, in bytes. Larger ones share [`MAX_BODY_BYTES`].
+const SMALL_BODY_BYTES: usize = 16 << 10;
+/// The largest number of bytes that all larger request bodies together may take.
+const MAX_BODY_BYTES: usize = 32 << 20;
+
 /// A caller's request that was read completely and authorized.
 pub(crate) struct Call {
     pub(crate) head: header_adapter::CallHead,
@@ -43,6 +49,8 @@
     pub(crate) host: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The body's part of what all bodies may take.
+    _body_room: reservation::Reservation,
     /// Identifies the request by its content.
     pub(crate) content: Arc<str>,
     pub(crate) started: Time,
@@ -195,7 +203,8 @@
         discard_body(body);
         return Err(refusal(problem::ProblemKind::BodyTooLarge));
     }
-    let body = read_body(body, limit, timeout).await.map_err(refusal)?;
+    let mut body_room = reservation::Reservation::new(&cx.request_body_bytes);
+    let body = read_body(body, limit, timeout, &mut body_room).await.map_err(refusal)?;
     let content = request_content::RequestContent {
         organisation: grant.organisation.as_ref().map(|o| o.name.as_ref()),
         method: parts.method.as_str(),
@@ -213,13 +222,19 @@
         host,
         headers: parts.headers,
         body,
+        _body_room: body_room,
         started,
         deadline,
     })
 }
 
-/// Reads a body of up to `limit` bytes.
-async fn read_body(mut body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes, problem::ProblemKind> {
+/// Reads a body of up to `limit` bytes, as long as `room` can be extended for it.
+async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    timeout: Duration,
+    room: &mut reservation::Reservation,
+) -> Result<Bytes, problem::ProblemKind> {
     let mut bytes = BytesMut::new();
     let reading = async {
         while let Some(frame) = body.frame().await {
@@ -228,6 +243,9 @@
             if bytes.len() > limit {
                 return Err(problem::ProblemKind::BodyTooLarge);
             }
+            if !room.grow_to(bytes.len().saturating_sub(SMALL_BODY_BYTES), MAX_BODY_BYTES) {
+                return Err(problem::ProblemKind::BodiesFull);
+            }
         }
         Ok(())
     };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -91,6 +91,7 @@
         rng: RefCell::new(rand::make_rng::<ChaCha8Rng>()),
         metrics: metrics::Metrics::new(),
         buffered_bytes: Rc::default(),
+        request_body_bytes: Rc::default(),
         in_flight: Rc::default(),
         open_connections: Rc::default(),
         draining,
