Give proofs a type of their own, and fit all quarantines into a row

Corrected on the way,: the bound of a told quarantine's length was 1 byte too small, and the proofs that refute others' quarantines were not counted, so that the largest datagram could have passed 32 KB (worked out: 34.6 KB). 8 refutations are told in place of 32, and 128 quarantines are kept in place of 192, 32 for an organisation, so that both kinds fit into a row of 64 KB with the longest identifiers of requests.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::{crash, crash_facts, crash_tally, merged, owner, quarantine, verdicts};
+use crate::direct::{crash, crash_facts, crash_tally, merged, owner, proofs, quarantine, verdicts};
 use crate::time;
 
 /// Time for which an answer must have been written to prove that its segments are sound. An endpoint crashes within a
@@ -53,16 +53,11 @@
 /// The part of it for quarantines without crashes.
 const MAX_VERDICT_BYTES: usize = 3 << 10;
 /// Upper bound of the encoded length of such quarantines in a row of the table.
-const MAX_ROW_VERDICT_BYTES: usize = 15 << 10;
+const MAX_ROW_VERDICT_BYTES: usize = 19 << 10;
 /// Upper bound of the number of quarantines of others for which a refutation is told.
-const MAX_REFUTED: usize = 32;
+const MAX_REFUTED: usize = 8;
 /// Upper bound of the number of endpoints kept for each quarantine.
 const MAX_ENDPOINTS: usize = 2;
-/// Upper bound of the number of segments whose last proof is kept.
-const MAX_PROVED: usize = 4_096;
-
-/// A segment and when it was last proved sound.
-type Proof = (Arc<str>, time::Time);
 
 /// All evidence of crashes that an instance has, and the verdict that follows from it.
 #[derive(Debug, Clone)]
@@ -74,10 +69,10 @@
     crashes: Vec<crash::Crash>,
     /// Number of reports of this instance that were news to it.
     own_reports: u64,
-    /// Proofs that this instance has seen, sorted by segment; at most [`MAX_PROVED`].
-    own_proofs: Vec<Proof>,
-    /// Proofs that others have seen, sorted by segment; only of suspected segments.
-    told_proofs: Vec<Proof>,
+    /// Proofs that this instance has seen.
+    own_proofs: proofs::Proofs,
+    /// Proofs that others have seen; only of suspected segments.
+    told_proofs: proofs::Proofs,
     /// Endpoints whose crashes something else explains, sorted.
     explained: Vec<Arc<str>>,
     /// Quarantines whose crashes are gone, or some of them.
@@ -134,8 +129,8 @@
             counts_each_crash,
             crashes: Vec::new(),
             own_reports: 0,
-            own_proofs: Vec::new(),
-            told_proofs: Vec::new(),
+            own_proofs: proofs::Proofs::default(),
+            told_proofs: proofs::Proofs::default(),
             explained: Vec::new(),
             verdicts: verdicts::Verdicts::default(),
             refuted: Vec::new(),
@@ -148,10 +143,7 @@
     pub fn record_proof(&mut self, segments: &[Arc<str>], now: time::Time) {
         let now = shifted(now);
         for segment in segments {
-            if self.own_proofs.len() >= MAX_PROVED {
-                discard_older_half(&mut self.own_proofs);
-            }
-            record_latest(&mut self.own_proofs, segment, now);
+            self.own_proofs.record(segment, now);
         }
         let is_held_against = |s: &Arc<str>| is_suspected(&self.crashes, s) || self.verdicts.contains(s);
         if segments.iter().any(is_held_against) {
@@ -254,10 +246,10 @@
             return;
         }
         self.crashes.retain(|c| now.since(c.at) < MEMORY);
-        self.own_proofs.retain(|(_, at)| now.since(*at) < MEMORY);
+        self.own_proofs.retain(|_, at| now.since(at) < MEMORY);
         let (crashes, verdicts) = (&self.crashes, &self.verdicts);
-        self.told_proofs.retain(|(segment, at)| {
-            now.since(*at) < MEMORY && (is_suspected(crashes, segment) || verdicts.contains(segment))
+        self.told_proofs.retain(|segment, at| {
+            now.since(at) < MEMORY && (is_suspected(crashes, segment) || verdicts.contains(segment))
         });
         self.judge(now);
     }
@@ -308,7 +300,7 @@
     /// Returns this instance's own proofs of `suspects`.
     fn proof_facts(&self, suspects: &[Arc<str>], now: time::Time) -> Vec<crash_facts::ProofFact> {
         let proofs = suspects.iter().filter_map(|segment| {
-            let at = find(&self.own_proofs, segment)?;
+            let at = self.own_proofs.last(segment)?;
             Some(crash_facts::ProofFact {
                 segment: Arc::clone(segment),
                 age_ms: now.since(at).as_millis() as u64,
@@ -352,7 +344,7 @@
         for proof in &facts.proofs {
             let is_held_against = is_suspected(&self.crashes, &proof.segment) || self.verdicts.contains(&proof.segment);
             if let Some(at) = time_of(proof.age_ms).filter(|_| is_held_against) {
-                record_latest(&mut self.told_proofs, &proof.segment, at);
+                self.told_proofs.record(&proof.segment, at);
             }
         }
         self.judge(now);
@@ -365,7 +357,7 @@
     /// Returns whether an answer has shown that `suspect` is sound since a quarantine that another instance tells was
     /// decided. If this instance has seen the answer, it tells that from now on.
     fn is_refuted(&mut self, suspect: &Arc<str>, decided_at: time::Time) -> bool {
-        if find(&self.own_proofs, suspect).is_some_and(|at| at > decided_at) && !self.refuted.contains(suspect) {
+        if self.own_proofs.last(suspect).is_some_and(|at| at > decided_at) && !self.refuted.contains(suspect) {
             if self.refuted.len() >= MAX_REFUTED {
                 self.refuted.remove(0);
             }
@@ -448,7 +440,7 @@
     fn review_verdicts(&mut self, now: time::Time) {
         let (own_proofs, told_proofs, explained) = (&self.own_proofs, &self.told_proofs, &self.explained);
         self.verdicts.retain(|v| {
-            let last_proof = find(own_proofs, &v.suspect).max(find(told_proofs, &v.suspect));
+            let last_proof = own_proofs.last(&v.suspect).max(told_proofs.last(&v.suspect));
             let is_explained = |e: &Arc<str>| explained.binary_search(e).is_ok();
             let has_other_cause = !v.endpoints.is_empty() && v.endpoints.iter().all(is_explained);
             now.since(v.decided_at) < MEMORY && last_proof.is_none_or(|at| at <= v.decided_at) && !has_other_cause
@@ -571,7 +563,7 @@
     }
 
     fn last_proof(&self, segment: &Arc<str>) -> Option<time::Time> {
-        find(&self.own_proofs, segment).max(find(&self.told_proofs, segment))
+        self.own_proofs.last(segment).max(self.told_proofs.last(segment))
     }
 }
 
@@ -583,23 +575,3 @@
 fn is_suspected(crashes: &[crash::Crash], segment: &Arc<str>) -> bool {
     crashes.iter().any(|c| c.suspects.binary_search(segment).is_ok())
 }
-
-fn find(proofs: &[Proof], segment: &Arc<str>) -> Option<time::Time> {
-    let at = proofs.binary_search_by(|(s, _)| s.cmp(segment)).ok()?;
-    Some(proofs[at].1)
-}
-
-fn record_latest(proofs: &mut Vec<Proof>, segment: &Arc<str>, at: time::Time) {
-    match proofs.binary_search_by(|(s, _)| s.cmp(segment)) {
-        Ok(index) => proofs[index].1 = proofs[index].1.max(at),
-        Err(index) => proofs.insert(index, (Arc::clone(segment), at)),
-    }
-}
-
-fn discard_older_half(proofs: &mut Vec<Proof>) {
-    let mut times: Vec<time::Time> = proofs.iter().map(|(_, at)| *at).collect();
-    let middle = times.len() / 2;
-    let (_, median, _) = times.select_nth_unstable(middle);
-    let median = *median;
-    proofs.retain(|(_, at)| *at > median);
-}
--- a/crates/core/src/direct/crash_facts.rs
+++ b/crates/core/src/direct/crash_facts.rs
@@ -9,6 +9,8 @@
 
 /// Upper bound of the length of a fact as JSON, without its identifiers.
 const FACT_BYTES: usize = 64;
+/// The same for a quarantine.
+const VERDICT_BYTES: usize = 88;
 /// Length of what JSON puts around an identifier in a list.
 const IDENTIFIER_BYTES: usize = 3;
 /// Upper bound of the length of an owner in a list.
@@ -94,7 +96,7 @@
     /// Returns an upper bound of the length of the fact as JSON.
     pub(super) fn encoded_len(&self) -> usize {
         let endpoints = self.endpoints.iter().map(|e| identifier_len(e));
-        FACT_BYTES + OWNER_BYTES + identifier_len(&self.suspect) + endpoints.sum::<usize>()
+        VERDICT_BYTES + identifier_len(&self.suspect) + endpoints.sum::<usize>()
     }
 }
 
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -33,6 +33,7 @@
 pub mod owner;
 pub mod pacing;
 pub mod placement;
+mod proofs;
 pub mod quarantine;
 mod rate_limit;
 pub mod rate_limits;
--- a/crates/core/src/direct/verdicts.rs
+++ b/crates/core/src/direct/verdicts.rs
@@ -11,7 +11,7 @@
 use crate::time;
 
 /// Upper bound of the number of quarantines kept.
-pub const MAX_VERDICTS: usize = 192;
+pub const MAX_VERDICTS: usize = 128;
 /// Upper bound of the number kept for one organisation.
 pub const MAX_VERDICTS_OF_OWNER: usize = MAX_VERDICTS / 4;
 /// Remaining time below which a quarantine makes room for a newer one of its organisation. An earlier end would release a
