Name in a refusal which promise to endpoints it keeps, on routes of all kinds

A request to a plain service that was refused because all its endpoints leave, pause or are limited had the detail 'none', in the response and in the log; streams had the reason.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -118,8 +118,13 @@
         .choose(&candidates, &req_cx.tried, domain, cx.random_fraction(), now)
         .cloned();
     let Some(endpoint) = chosen else {
-        return Err(withdrawal::unavailability(cx, endpoints, now)
-            .map_or(problem::ProblemKind::NoEndpoint, |u| withdrawal::problem_kind(u.cause)));
+        let Some(unavailability) = withdrawal::unavailability(cx, endpoints, now) else {
+            return Err(problem::ProblemKind::NoEndpoint);
+        };
+        if req_cx.attempts.sent_count() == 0 {
+            req_cx.last_failure = withdrawal::detail(unavailability.cause);
+        }
+        return Err(withdrawal::problem_kind(unavailability.cause));
     };
     // Before a connection is opened, which would be for nothing if the budget allows no repeat.
     request::count_attempt(cx, req_cx, &endpoint.service)?;
