--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -20,6 +20,8 @@
         "stop-while-answer-is-sent" => stop_while_answer_is_sent(trouble, record),
         "stop-while-request-begins" => stop_while_request_begins(trouble, record),
         "poison-after-restart" => poison_after_restart(trouble, record),
+        "memory-of-answers" => memory_of_answers(trouble, record),
+        "revoked-key-after-drill" => revoked_key_after_drill(trouble, record),
         _ => Err(format!("no case {name}")),
     }
 }
@@ -105,48 +107,54 @@
     Ok(lost == 0)
 }
 
-/// LOST: a gateway that gets SIGTERM exits while a request runs that it has just accepted.
+/// LOST: gateways that get SIGTERM in turn exit while requests run that they have just accepted.
 fn stop_while_request_begins(trouble: bool, record: &Record) -> Outcome {
+    /// Time from the SIGTERM of one machine to that of the next.
+    const GAP: Duration = Duration::from_millis(1_300);
+    /// When each client has sent the last byte of its request, from the SIGTERM of its machine on.
+    const SENT_AFTER_MS: [u64; 4] = [2_630, 2_650, 2_680, 2_720];
     let store = Store::start();
     let replicas: Vec<Replica> = (0..3)
         .map(|n| Replica::start(&format!("i-ledger-{n}"), record, answers_after(Duration::from_millis(400), 800)))
         .collect();
     for replica in &replicas {
-        env::register(&store, replica, "payout-ledger", "hu-central-a", 6, "ready");
+        env::register(&store, replica, "payout-ledger", "nl-west-a", 6, "ready");
     }
     env::configure(&store, record, 1, &[("/payout/", "unsafe", "payout-ledger", 4_000, 1)], 15_000);
-    let mut gateway = Gateway::start("front-hu-central-a-1", "hu-central-a", 260, &store)?;
-    gateway.wait_until_ready()?;
+    let mut gateways = Vec::new();
+    for n in 1..=SENT_AFTER_MS.len() {
+        gateways.push(Gateway::start(&format!("front-nl-west-a-{n}"), "nl-west-a", 260, &store)?);
+    }
+    for gateway in &gateways {
+        gateway.wait_until_ready()?;
+    }
     std::thread::sleep(Duration::from_millis(1_500));
-    let start = Instant::now();
-    if trouble {
-        record.line("SIGTERM to the gateway; SIGKILL would follow after graceS = 8 s");
-        gateway.signal(env::SIGTERM);
+    let mut clients = Vec::new();
+    for (gateway, sent_after_ms) in gateways.iter().zip(SENT_AFTER_MS) {
+        let term = Instant::now();
+        if trouble {
+            record.line(&format!("SIGTERM to {}; SIGKILL would follow after graceS = 8 s", gateway.name));
+            gateway.signal(env::SIGTERM);
+        }
+        let (record, callers, attempt) = (record.clone(), gateway.callers, format!("booking-at-{}", gateway.name));
+        clients.push(std::thread::spawn(move || {
+            // The balancer takes a machine out after two questions, one a second.
+            sleep_until(term + Duration::from_millis(1_700));
+            let text = client::request("POST", "/payout/book", &attempt, 4_000, "slip");
+            let mut stream = TcpStream::connect(callers).ok()?;
+            let (first, rest) = text.split_at(60);
+            stream.write_all(first.as_bytes()).ok()?;
+            record.line(&format!("client connects and begins to send {attempt}"));
+            sleep_until(term + Duration::from_millis(sent_after_ms));
+            let sent = stream.write_all(rest.as_bytes()).is_ok();
+            record.line(&format!("client has sent all of {attempt}: {sent}; waits 4000 ms at most"));
+            let got = client::read_answer(stream, None, Instant::now() + Duration::from_millis(3_900));
+            record.line(&format!("client got of {attempt}: {got:?}"));
+            Some((attempt, got))
+        }));
+        std::thread::sleep(GAP);
     }
-    let callers = gateway.callers;
-    let clients: Vec<_> = (0..4_u64)
-        .map(|n| {
-            let record = record.clone();
-            std::thread::spawn(move || {
-                // The balancer takes a gateway out after two questions, one a second.
-                sleep_until(start + Duration::from_millis(1_700 + 20 * n));
-                let attempt = format!("b{n}");
-                let text = client::request("POST", "/payout/book", &attempt, 4_000, "slip");
-                let mut stream = TcpStream::connect(callers).ok()?;
-                let (first, rest) = text.split_at(60);
-                stream.write_all(first.as_bytes()).ok()?;
-                record.line(&format!("client connects and begins to send {attempt}"));
-                sleep_until(start + Duration::from_millis(2_640 + 30 * n));
-                let sent = stream.write_all(rest.as_bytes()).is_ok();
-                record.line(&format!("client has sent all of {attempt}: {sent}; waits 4000 ms at most"));
-                let got = client::read_answer(stream, None, start + Duration::from_millis(6_500));
-                record.line(&format!("client got of {attempt}: {got:?}"));
-                Some((attempt, got))
-            })
-        })
-        .collect();
-    let mut lost = 0;
-    let mut whole = 0;
+    let (mut whole, mut lost) = (0, 0);
     for client in clients {
         let Some((attempt, got)) = client.join().map_err(|_| "a client panicked")? else {
             return Err("a client could not connect".to_owned());
@@ -158,8 +166,13 @@
             _ => {}
         }
     }
-    record.line(&format!("gateway has exited: {}", gateway.has_exited()));
-    record.line(&format!("complete answers: {whole}, passed on and cut: {lost}"));
+    // Replicas may still work on what was cut.
+    std::thread::sleep(Duration::from_millis(500));
+    let exited = gateways.iter_mut().filter_map(|g| g.has_exited().then_some(1)).count();
+    record.line(&format!("gateways that have exited: {exited}; complete answers: {whole}, passed on, run and cut: {lost}"));
+    if whole + lost == 0 {
+        return Err("no request was passed on".to_owned());
+    }
     Ok(lost == 0)
 }
 
@@ -273,3 +286,164 @@
     }
     Ok(2 * after.0 * before.1 >= before.0 * after.1)
 }
+
+/// Fault: after the loss of machines, the others need more memory than they have for the answers that they send to clients.
+fn memory_of_answers(trouble: bool, record: &Record) -> Outcome {
+    const MEMORY_MB: u64 = 260;
+    const BYTES: usize = 7_500_000;
+    const BYTES_PER_SECOND: usize = 1_050_000;
+    /// Time between two requests to the whole system: nine a second.
+    const INTERVAL: Duration = Duration::from_micros(111_000);
+    const LOSS_AT: Duration = Duration::from_secs(10);
+    const LENGTH: Duration = Duration::from_secs(85);
+    let store = Store::start();
+    let replicas: Vec<Replica> = (0..3)
+        .map(|n| Replica::start(&format!("i-ledger-{n}"), record, answers_after(Duration::from_millis(15), BYTES)))
+        .collect();
+    for replica in &replicas {
+        env::register(&store, replica, "contract-ledger", "hu-central-a", 6, "ready");
+    }
+    env::configure(&store, record, 1, &[("/lots/", "safe", "contract-ledger", 8_000, 2)], 15_000);
+    let mut gateways = Vec::new();
+    for (name, zone) in [("a-1", "hu-central-a"), ("b-1", "hu-central-b"), ("a-2", "hu-central-a"), ("b-2", "hu-central-b")] {
+        gateways.push(Gateway::start(&format!("front-hu-central-{name}"), zone, MEMORY_MB, &store)?);
+    }
+    for gateway in &gateways {
+        gateway.wait_until_ready()?;
+    }
+    std::thread::sleep(Duration::from_millis(1_500));
+    let start = Instant::now();
+    let results = Arc::new(Mutex::new([0_u64; 3]));
+    let callers: Vec<_> = gateways.iter().map(|g| g.callers).collect();
+    {
+        let (results, record) = (Arc::clone(&results), record.clone());
+        std::thread::spawn(move || {
+            for n in 0_usize.. {
+                let at = start.elapsed();
+                if at > LENGTH {
+                    return;
+                }
+                let machines = if trouble && at >= LOSS_AT { 2 } else { 4 };
+                let to = callers[n % machines];
+                let (results, record) = (Arc::clone(&results), record.clone());
+                std::thread::spawn(move || {
+                    let attempt = format!("a{n}");
+                    let until = Instant::now() + Duration::from_millis(7_900);
+                    let got = match client::connect_over_link(to) {
+                        Some(mut stream) => {
+                            let text = client::request("GET", "/lots/all", &attempt, 8_000, "");
+                            let _sent = stream.write_all(text.as_bytes());
+                            client::read_answer(stream, Some(BYTES_PER_SECOND), until)
+                        }
+                        None => Got::Nothing,
+                    };
+                    let kind = match got {
+                        Got::Whole { status: 200, .. } => 0,
+                        Got::Part { .. } => 1,
+                        _ => 2,
+                    };
+                    results.lock().unwrap_or_else(|e| e.into_inner())[kind] += 1;
+                    record.line(&format!("client got of {attempt}: {got:?}"));
+                });
+                std::thread::sleep(INTERVAL);
+            }
+        });
+    }
+    let (mut ends, mut peaks) = ([0_u32; 4], [0_u64; 4]);
+    let mut machines = 4;
+    while start.elapsed() < LENGTH && ends.iter().filter(|e| **e >= 3).count() < 2 {
+        if trouble && machines == 4 && start.elapsed() >= LOSS_AT {
+            record.line("two of the four machines are lost for good");
+            machines = 2;
+            gateways[2].kill();
+            gateways[3].kill();
+        }
+        for (g, gateway) in gateways.iter_mut().enumerate().take(machines) {
+            let kb = gateway.resident_kb();
+            peaks[g] = peaks[g].max(kb);
+            if kb > MEMORY_MB * 1_024 || gateway.has_exited() {
+                ends[g] += 1;
+                record.line(&format!(
+                    "{} uses {kb} KB, more than memoryMb = {MEMORY_MB}: the platform kills it and starts it again",
+                    gateway.name
+                ));
+                gateway.kill();
+                std::thread::sleep(Duration::from_millis(300));
+                gateway.restart()?;
+            }
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let [whole, part, nothing] = *results.lock().unwrap_or_else(|e| e.into_inner());
+    record.line(&format!("processes ended {ends:?} times, most memory {peaks:?} KB"));
+    record.line(&format!("answers: {whole} whole, {part} in part, {nothing} none"));
+    if whole == 0 {
+        return Err("nothing was served".to_owned());
+    }
+    Ok(ends.iter().filter(|e| **e >= 3).count() < 2)
+}
+
+/// CONFIG: a gateway that starts while the store is back from an older copy lets requests with a revoked key run.
+fn revoked_key_after_drill(trouble: bool, record: &Record) -> Outcome {
+    const REVOKE_MS: u64 = 5_000;
+    const REVOKED: &str = "key-that-is-revoked";
+    let store = Store::start();
+    let replicas: Vec<Replica> = (0..3)
+        .map(|n| Replica::start(&format!("i-ledger-{n}"), record, answers_after(Duration::from_millis(15), 800)))
+        .collect();
+    for replica in &replicas {
+        env::register(&store, replica, "contract-ledger", "hu-central-a", 6, "ready");
+    }
+    let routes: [env::Route<'_>; 1] = [("/sign/", "unsafe", "contract-ledger", 1_500, 1)];
+    env::configure_keys(&store, record, 1, &routes, 15_000, &[client::KEY, REVOKED]);
+    let first = Gateway::start("front-hu-central-a-1", "hu-central-a", 260, &store)?;
+    first.wait_until_ready()?;
+    std::thread::sleep(Duration::from_millis(1_500));
+    let copy = store.copy();
+    record.line("a copy of the store is made");
+    std::thread::sleep(Duration::from_millis(500));
+    env::configure_keys(&store, record, 2, &routes, 15_000, &[client::KEY]);
+    let (revoked_at, revoked_ms) = (Instant::now(), record.ms());
+    sleep_until(revoked_at + Duration::from_millis(4_000));
+    if trouble {
+        record.line("drill: the store is away");
+        store.set_down(true);
+    }
+    sleep_until(revoked_at + Duration::from_millis(4_500));
+    if trouble {
+        store.restore(copy);
+        record.line("drill: the store is back from the copy, 5 s old");
+    }
+    sleep_until(revoked_at + Duration::from_millis(4_600));
+    record.line("a machine is added");
+    let second = Gateway::start("front-hu-central-a-2", "hu-central-a", 260, &store)?;
+    sleep_until(revoked_at + Duration::from_millis(REVOKE_MS + 100));
+    let mut sent = Vec::new();
+    let call = |to: std::net::SocketAddr, attempt: &str, key: &str| -> Option<Got> {
+        let mut stream = TcpStream::connect(to).ok()?;
+        stream.write_all(client::request_with_key("POST", "/sign/1", attempt, 1_500, "slip", key).as_bytes()).ok()?;
+        Some(client::read_answer(stream, None, Instant::now() + Duration::from_millis(1_500)))
+    };
+    for n in 0..30 {
+        if trouble && n == 14 {
+            env::configure_keys(&store, record, 2, &routes, 15_000, &[client::KEY]);
+            record.line("that was the operator, which writes again what the store had lost");
+        }
+        for (name, gateway) in [("first", &first), ("added", &second)] {
+            let attempt = format!("{name}-{n}");
+            record.line(&format!("client sends {attempt} with the revoked key, {} ms after its revocation", record.ms() - revoked_ms));
+            let got = call(gateway.callers, &attempt, REVOKED);
+            record.line(&format!("client got of {attempt}: {got:?}"));
+            sent.push(attempt);
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let sound = call(second.callers, "sound", client::KEY);
+    record.line(&format!("client got of a request with a sound key: {sound:?}"));
+    if !matches!(sound, Some(Got::Whole { status: 200, .. })) {
+        return Err("the added machine does not serve".to_owned());
+    }
+    let run: Vec<&String> = sent.iter().filter(|a| replicas.iter().any(|r| r.has_run(a))).collect();
+    record.line(&format!("requests with the revoked key that ran: {run:?}"));
+    Ok(run.is_empty())
+}
--- a/review/standins/env.rs
+++ b/review/standins/env.rs
@@ -61,7 +61,7 @@
         let (callers, ready, peers) = (free_port(), free_port(), free_port());
         let settings = format!(
             r#"{{"nodeName":"{name}","role":"gateway","machineClass":"front","serves":["front"],"ip":"127.0.0.1","zone":"{zone}",
-"region":"hu-central","zones":{{"hu-central-a":"hu-central","hu-central-b":"hu-central"}},
+"region":"{region}","zones":{{"{region}-a":"{region}","{region}-b":"{region}","{region}-c":"{region}"}},
 "listen":{{"front":"{callers}","ready":"{ready}"}},"portRange":[{port},{port}],"seeds":[],"bootstrap":true,"countsAsLoss":false,
 "limits":{{"cpuShare":0.25,"cores":1,"memoryMb":{memory_mb},"maxFds":4100,"linkMbps":1000.0,"diskMb":0}},"dataDir":null,
 "discovery":"platform","entry":"vip","heartbeatMs":1200,
@@ -71,6 +71,7 @@
 "budgetWindowS":10,"budgetExtra":92,"recoveryS":12,"passMs":120,"retryAfterS":0,"stall_ms":1500,"requireFencing":true}},
 "platform":{{"address":"{store}","form":"table","writesPerS":400,"readsPerS":2000,"txMs":8.0,"partWritesS":150,"rowBytes":65536,
 "across":false,"historyS":20,"blobBytes":8388608,"blobMs":25.0,"blobMbS":80.0}}}}"#,
+            region = zone.rsplit_once('-').map_or(zone, |(region, _)| region),
             port = peers.port(),
             store = store.addr
         );
@@ -129,6 +130,13 @@
         self.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))))
     }
 
+    /// Memory that the process has in use, in KB.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse().ok()).unwrap_or(0)
+    }
+
     pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, Duration::from_secs(1)) else {
             return false;
@@ -172,8 +180,20 @@
 /// A route of the configuration: prefix, type, service, time-out and most attempts.
 pub type Route<'a> = (&'a str, &'a str, &'a str, u64, u32);
 
-/// Writes a configuration.
+/// Writes a configuration with one key.
 pub fn configure(store: &store::Store, record: &record::Record, version: u64, routes: &[Route<'_>], idle_ms: u64) {
+    configure_keys(store, record, version, routes, idle_ms, &[crate::client::KEY]);
+}
+
+/// Writes a configuration.
+pub fn configure_keys(
+    store: &store::Store,
+    record: &record::Record,
+    version: u64,
+    routes: &[Route<'_>],
+    idle_ms: u64,
+    keys: &[&str],
+) {
     let list: Vec<String> = routes
         .iter()
         .map(|(prefix, kind, service, timeout, attempts)| {
@@ -195,8 +215,8 @@
         r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":{idle_ms}}},"tenants":[{{"name":"acme","apiKeys":["{}"],"priority":1}}]}}"#,
         list.join(","),
         services.join(","),
-        crate::client::KEY
+        keys.join("\",\"")
     );
     store.put("op", "config", Some(&text));
-    record.line(&format!("store accepts configuration {version}"));
+    record.line(&format!("store accepts configuration {version} with the keys {keys:?}"));
 }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -7,6 +7,7 @@
 
 use crate::{http, json};
 
+#[derive(Clone)]
 struct Row {
     table: String,
     key: String,
@@ -19,13 +20,18 @@
 struct State {
     rows: Vec<Row>,
     ver: u64,
-    /// Connections that were opened before this number are silent.
-    opened: u64,
-    silent_below: u64,
+    /// Rises when the store comes back from a copy.
+    era: u64,
     /// Whether all calls get 503.
     down: bool,
 }
 
+/// A copy of the store.
+pub struct Copy {
+    rows: Vec<Row>,
+    ver: u64,
+}
+
 #[derive(Clone)]
 pub struct Store {
     pub addr: SocketAddr,
@@ -71,35 +77,38 @@
         ver
     }
 
-    /// Lets the connections that are open go silent for good, without a reset. New ones work.
-    #[allow(dead_code)]
-    pub fn silence_connections(&self) {
-        let mut state = self.state.0.lock().unwrap_or_else(|e| e.into_inner());
-        state.silent_below = state.opened;
-    }
-
-    #[allow(dead_code)]
     pub fn set_down(&self, down: bool) {
         self.state.0.lock().unwrap_or_else(|e| e.into_inner()).down = down;
         self.state.1.notify_all();
     }
 
+    pub fn copy(&self) -> Copy {
+        let state = self.state.0.lock().unwrap_or_else(|e| e.into_inner());
+        Copy {
+            rows: state.rows.clone(),
+            ver: state.ver,
+        }
+    }
+
+    /// Comes back from a copy. Versions are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state.0.lock().unwrap_or_else(|e| e.into_inner());
+        state.rows = copy.rows;
+        state.ver = copy.ver;
+        state.era += 1;
+        state.down = false;
+        self.state.1.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _nodelay = stream.set_nodelay(true);
-        let number = {
-            let mut state = self.state.0.lock().unwrap_or_else(|e| e.into_inner());
-            state.opened += 1;
-            state.opened
-        };
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Some(req) = http::read_request(&mut reader) {
             let (status, body) = self.respond(&req);
-            if number <= self.state.0.lock().unwrap_or_else(|e| e.into_inner()).silent_below {
-                std::thread::sleep(Duration::from_secs(600));
-            }
+            let era = 1 + self.state.0.lock().unwrap_or_else(|e| e.into_inner()).era;
             let text = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             if writer.write_all(text.as_bytes()).is_err() {
