--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -52,12 +52,24 @@
     const CLIENTS: usize = 4;
     let store = Store::start();
     let replicas: Vec<Replica> = (0..3)
-        .map(|n| Replica::start(&format!("i-ledger-{n}"), record, answers_after(Duration::from_millis(15), BYTES)))
+        .map(|n| {
+            Replica::start(
+                &format!("i-ledger-{n}"),
+                record,
+                answers_after(Duration::from_millis(15), BYTES),
+            )
+        })
         .collect();
     for replica in &replicas {
         env::register(&store, replica, "contract-ledger", "hu-central-a", 6, "ready");
     }
-    env::configure(&store, record, 1, &[("/lots/", "safe", "contract-ledger", 8_000, 2)], 15_000);
+    env::configure(
+        &store,
+        record,
+        1,
+        &[("/lots/", "safe", "contract-ledger", 8_000, 2)],
+        15_000,
+    );
     let mut gateway = Gateway::start("front-hu-central-a-1", "hu-central-a", 260, &store)?;
     gateway.wait_until_ready()?;
     std::thread::sleep(Duration::from_millis(1_500));
@@ -69,7 +81,9 @@
             std::thread::spawn(move || {
                 let attempt = format!("a{n}");
                 let mut stream = client::connect_over_link(callers)?;
-                stream.write_all(client::request("GET", "/lots/all", &attempt, 8_000, "").as_bytes()).ok()?;
+                stream
+                    .write_all(client::request("GET", "/lots/all", &attempt, 8_000, "").as_bytes())
+                    .ok()?;
                 record.line(&format!("client sends {attempt}, waits 8000 ms at most"));
                 let got = client::read_answer(stream, Some(PER_SECOND), start + Duration::from_millis(7_900));
                 record.line(&format!("client got of {attempt}: {got:?}"));
@@ -115,15 +129,32 @@
     const SENT_AFTER_MS: [u64; 4] = [2_630, 2_650, 2_680, 2_720];
     let store = Store::start();
     let replicas: Vec<Replica> = (0..3)
-        .map(|n| Replica::start(&format!("i-ledger-{n}"), record, answers_after(Duration::from_millis(400), 800)))
+        .map(|n| {
+            Replica::start(
+                &format!("i-ledger-{n}"),
+                record,
+                answers_after(Duration::from_millis(400), 800),
+            )
+        })
         .collect();
     for replica in &replicas {
         env::register(&store, replica, "payout-ledger", "nl-west-a", 6, "ready");
     }
-    env::configure(&store, record, 1, &[("/payout/", "unsafe", "payout-ledger", 4_000, 1)], 15_000);
+    env::configure(
+        &store,
+        record,
+        1,
+        &[("/payout/", "unsafe", "payout-ledger", 4_000, 1)],
+        15_000,
+    );
     let mut gateways = Vec::new();
     for n in 1..=SENT_AFTER_MS.len() {
-        gateways.push(Gateway::start(&format!("front-nl-west-a-{n}"), "nl-west-a", 260, &store)?);
+        gateways.push(Gateway::start(
+            &format!("front-nl-west-a-{n}"),
+            "nl-west-a",
+            260,
+            &store,
+        )?);
     }
     for gateway in &gateways {
         gateway.wait_until_ready()?;
@@ -133,7 +164,10 @@
     for (gateway, sent_after_ms) in gateways.iter().zip(SENT_AFTER_MS) {
         let term = Instant::now();
         if trouble {
-            record.line(&format!("SIGTERM to {}; SIGKILL would follow after graceS = 8 s", gateway.name));
+            record.line(&format!(
+                "SIGTERM to {}; SIGKILL would follow after graceS = 8 s",
+                gateway.name
+            ));
             gateway.signal(env::SIGTERM);
         }
         let (record, callers, attempt) = (record.clone(), gateway.callers, format!("booking-at-{}", gateway.name));
@@ -147,7 +181,9 @@
             record.line(&format!("client connects and begins to send {attempt}"));
             sleep_until(term + Duration::from_millis(sent_after_ms));
             let sent = stream.write_all(rest.as_bytes()).is_ok();
-            record.line(&format!("client has sent all of {attempt}: {sent}; waits 4000 ms at most"));
+            record.line(&format!(
+                "client has sent all of {attempt}: {sent}; waits 4000 ms at most"
+            ));
             let got = client::read_answer(stream, None, Instant::now() + Duration::from_millis(3_900));
             record.line(&format!("client got of {attempt}: {got:?}"));
             Some((attempt, got))
@@ -169,7 +205,9 @@
     // Replicas may still work on what was cut.
     std::thread::sleep(Duration::from_millis(500));
     let exited = gateways.iter_mut().filter_map(|g| g.has_exited().then_some(1)).count();
-    record.line(&format!("gateways that have exited: {exited}; complete answers: {whole}, passed on, run and cut: {lost}"));
+    record.line(&format!(
+        "gateways that have exited: {exited}; complete answers: {whole}, passed on, run and cut: {lost}"
+    ));
     if whole + lost == 0 {
         return Err("no request was passed on".to_owned());
     }
@@ -183,7 +221,13 @@
     const CONTACT_MS: u64 = 3_000;
     let store = Store::start();
     let group = Group::start(4, "bad0bad0", &store, record);
-    env::configure(&store, record, 1, &[("/draft/", "streaming", "drafting-model", 8_000, 2)], 15_000);
+    env::configure(
+        &store,
+        record,
+        1,
+        &[("/draft/", "streaming", "drafting-model", 8_000, 2)],
+        15_000,
+    );
     let mut gateways = vec![
         Gateway::start("front-hu-central-a-1", "hu-central-a", 260, &store)?,
         Gateway::start("front-hu-central-b-1", "hu-central-b", 260, &store)?,
@@ -211,7 +255,9 @@
                 return;
             }
             let (status, bytes, complete) = client::read_stream(stream, usize::MAX, until);
-            record.line(&format!("client got of {attempt}: status {status}, {bytes} bytes, complete {complete}"));
+            record.line(&format!(
+                "client got of {attempt}: status {status}, {bytes} bytes, complete {complete}"
+            ));
         })
     };
     {
@@ -222,14 +268,22 @@
                     return;
                 }
                 let attempt = format!("s{n}");
-                sent.lock().unwrap_or_else(|e| e.into_inner()).push((attempt.clone(), record.ms()));
-                spawn_request(attempt, format!("5c1e07a2:40,{n:08x}:700"), callers[n % 2], record.clone());
+                sent.lock()
+                    .unwrap_or_else(|e| e.into_inner())
+                    .push((attempt.clone(), record.ms()));
+                spawn_request(
+                    attempt,
+                    format!("5c1e07a2:40,{n:08x}:700"),
+                    callers[n % 2],
+                    record.clone(),
+                );
                 std::thread::sleep(Duration::from_millis(125));
             }
         });
     }
     {
-        let (stop, poisons, record, callers) = (Arc::clone(&stop), Arc::clone(&poisons), record.clone(), callers.clone());
+        let (stop, poisons, record, callers) =
+            (Arc::clone(&stop), Arc::clone(&poisons), record.clone(), callers.clone());
         std::thread::spawn(move || {
             for n in 0_usize.. {
                 if stop.load(Ordering::Relaxed) {
@@ -237,7 +291,12 @@
                 }
                 if poisons.load(Ordering::Relaxed) {
                     let attempt = format!("p{n}");
-                    spawn_request(attempt, format!("5c1e07a2:40,bad0bad0:300,f{n:07x}:400"), callers[n % 2], record.clone());
+                    spawn_request(
+                        attempt,
+                        format!("5c1e07a2:40,bad0bad0:300,f{n:07x}:400"),
+                        callers[n % 2],
+                        record.clone(),
+                    );
                 }
                 std::thread::sleep(Duration::from_millis(800));
             }
@@ -274,7 +333,10 @@
     let before = share_of(start_ms, before_ms);
     let after = share_of(last + 2 * CONTACT_MS, end_ms);
     record.line(&format!("crashes at {crashes:?} ms"));
-    record.line(&format!("sound requests that began: before {} of {}, from 2 x contactMs after the crashes {} of {}", before.0, before.1, after.0, after.1));
+    record.line(&format!(
+        "sound requests that began: before {} of {}, from 2 x contactMs after the crashes {} of {}",
+        before.0, before.1, after.0, after.1
+    ));
     for gateway in &gateways {
         let log = gateway.log_text();
         for line in log.lines().filter(|l| l.contains("quarantined") && l.contains("WARN")) {
@@ -298,15 +360,37 @@
     const LENGTH: Duration = Duration::from_secs(85);
     let store = Store::start();
     let replicas: Vec<Replica> = (0..3)
-        .map(|n| Replica::start(&format!("i-ledger-{n}"), record, answers_after(Duration::from_millis(15), BYTES)))
+        .map(|n| {
+            Replica::start(
+                &format!("i-ledger-{n}"),
+                record,
+                answers_after(Duration::from_millis(15), BYTES),
+            )
+        })
         .collect();
     for replica in &replicas {
         env::register(&store, replica, "contract-ledger", "hu-central-a", 6, "ready");
     }
-    env::configure(&store, record, 1, &[("/lots/", "safe", "contract-ledger", 8_000, 2)], 15_000);
+    env::configure(
+        &store,
+        record,
+        1,
+        &[("/lots/", "safe", "contract-ledger", 8_000, 2)],
+        15_000,
+    );
     let mut gateways = Vec::new();
-    for (name, zone) in [("a-1", "hu-central-a"), ("b-1", "hu-central-b"), ("a-2", "hu-central-a"), ("b-2", "hu-central-b")] {
-        gateways.push(Gateway::start(&format!("front-hu-central-{name}"), zone, MEMORY_MB, &store)?);
+    for (name, zone) in [
+        ("a-1", "hu-central-a"),
+        ("b-1", "hu-central-b"),
+        ("a-2", "hu-central-a"),
+        ("b-2", "hu-central-b"),
+    ] {
+        gateways.push(Gateway::start(
+            &format!("front-hu-central-{name}"),
+            zone,
+            MEMORY_MB,
+            &store,
+        )?);
     }
     for gateway in &gateways {
         gateway.wait_until_ready()?;
@@ -389,7 +473,13 @@
     const REVOKED: &str = "key-that-is-revoked";
     let store = Store::start();
     let replicas: Vec<Replica> = (0..3)
-        .map(|n| Replica::start(&format!("i-ledger-{n}"), record, answers_after(Duration::from_millis(15), 800)))
+        .map(|n| {
+            Replica::start(
+                &format!("i-ledger-{n}"),
+                record,
+                answers_after(Duration::from_millis(15), 800),
+            )
+        })
         .collect();
     for replica in &replicas {
         env::register(&store, replica, "contract-ledger", "hu-central-a", 6, "ready");
@@ -421,8 +511,14 @@
     let mut sent = Vec::new();
     let call = |to: std::net::SocketAddr, attempt: &str, key: &str| -> Option<Got> {
         let mut stream = TcpStream::connect(to).ok()?;
-        stream.write_all(client::request_with_key("POST", "/sign/1", attempt, 1_500, "slip", key).as_bytes()).ok()?;
-        Some(client::read_answer(stream, None, Instant::now() + Duration::from_millis(1_500)))
+        stream
+            .write_all(client::request_with_key("POST", "/sign/1", attempt, 1_500, "slip", key).as_bytes())
+            .ok()?;
+        Some(client::read_answer(
+            stream,
+            None,
+            Instant::now() + Duration::from_millis(1_500),
+        ))
     };
     for n in 0..30 {
         if trouble && n == 14 {
@@ -431,7 +527,10 @@
         }
         for (name, gateway) in [("first", &first), ("added", &second)] {
             let attempt = format!("{name}-{n}");
-            record.line(&format!("client sends {attempt} with the revoked key, {} ms after its revocation", record.ms() - revoked_ms));
+            record.line(&format!(
+                "client sends {attempt} with the revoked key, {} ms after its revocation",
+                record.ms() - revoked_ms
+            ));
             let got = call(gateway.callers, &attempt, REVOKED);
             record.line(&format!("client got of {attempt}: {got:?}"));
             sent.push(attempt);
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -125,7 +125,11 @@
 
 /// Reads a stream at `per_second` bytes at most. Returns its status, its bytes and whether it was complete.
 pub fn read_stream(stream: TcpStream, per_second: usize, until: Instant) -> (u16, usize, bool) {
-    let _timeout = stream.set_read_timeout(Some(until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1))));
+    let _timeout = stream.set_read_timeout(Some(
+        until
+            .saturating_duration_since(Instant::now())
+            .max(Duration::from_millis(1)),
+    ));
     let mut reader = BufReader::with_capacity(4_096, stream);
     let Some(head) = http::read_head(&mut reader) else {
         return (0, 0, false);
--- a/review/standins/env.rs
+++ b/review/standins/env.rs
@@ -34,7 +34,11 @@
 
 impl Folder {
     pub fn create() -> Self {
-        let path = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), NEXT_PORT.load(Ordering::Relaxed)));
+        let path = std::env::temp_dir().join(format!(
+            "review-{}-{}",
+            std::process::id(),
+            NEXT_PORT.load(Ordering::Relaxed)
+        ));
         std::fs::create_dir_all(&path).expect("a temporary folder");
         Self(path)
     }
@@ -90,7 +94,10 @@
     fn spawn(&mut self) -> Result<(), String> {
         let path = self.folder.0.join("boot.json");
         std::fs::write(&path, &self.settings).map_err(|e| e.to_string())?;
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.0.join("log"));
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.0.join("log"));
         let log = log.map_err(|e| e.to_string())?;
         let child = Command::new("target/release/sycamorestile-hosted")
             .arg("gateway")
@@ -134,7 +141,8 @@
     pub fn resident_kb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
         let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-        line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse().ok()).unwrap_or(0)
+        line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn is_ready(&self) -> bool {
@@ -209,7 +217,9 @@
     services.dedup();
     let services: Vec<String> = services
         .iter()
-        .map(|s| format!(r#"{{"name":"{s}","healthPath":"/healthz","maxConnections":418,"protocol":"h1","tls":false}}"#))
+        .map(|s| {
+            format!(r#"{{"name":"{s}","healthPath":"/healthz","maxConnections":418,"protocol":"h1","tls":false}}"#)
+        })
         .collect();
     let text = format!(
         r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":{idle_ms}}},"tenants":[{{"name":"acme","apiKeys":["{}"],"priority":1}}]}}"#,
--- a/review/standins/group.rs
+++ b/review/standins/group.rs
@@ -42,7 +42,9 @@
 impl Group {
     /// Starts `size` ranks, of which each crashes that begins to write an answer on the part `poison`.
     pub fn start(size: usize, poison: &str, store: &store::Store, record: &record::Record) -> Self {
-        let listeners: Vec<TcpListener> = (0..size).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+        let listeners: Vec<TcpListener> = (0..size)
+            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
+            .collect();
         let group = Self {
             state: Arc::default(),
             ranks: listeners.iter().map(|l| l.local_addr().expect("an address")).collect(),
@@ -78,26 +80,34 @@
     fn listen(&self, rank: usize, listener: TcpListener) {
         let group = self.clone();
         listener.set_nonblocking(true).expect("a listener");
-        std::thread::spawn(move || loop {
-            if group.is_away(rank) {
-                return;
-            }
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    let _blocking = stream.set_nonblocking(false);
-                    if let Ok(copy) = stream.try_clone() {
-                        group.connections.lock().unwrap_or_else(|e| e.into_inner()).push((rank, copy));
+        std::thread::spawn(move || {
+            loop {
+                if group.is_away(rank) {
+                    return;
+                }
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let _blocking = stream.set_nonblocking(false);
+                        if let Ok(copy) = stream.try_clone() {
+                            group
+                                .connections
+                                .lock()
+                                .unwrap_or_else(|e| e.into_inner())
+                                .push((rank, copy));
+                        }
+                        let group = group.clone();
+                        std::thread::spawn(move || group.serve(rank, stream));
                     }
-                    let group = group.clone();
-                    std::thread::spawn(move || group.serve(rank, stream));
+                    Err(_) => std::thread::sleep(Duration::from_millis(1)),
                 }
-                Err(_) => std::thread::sleep(Duration::from_millis(1)),
             }
         });
     }
 
     fn is_away(&self, rank: usize) -> bool {
-        self.lock().broken.is_some_and(|(r, until)| r == rank && Instant::now() + FORM < until)
+        self.lock()
+            .broken
+            .is_some_and(|(r, until)| r == rank && Instant::now() + FORM < until)
     }
 
     /// Whether the group is broken.
@@ -124,14 +134,18 @@
             state.crashes.push(self.record.ms());
             state.epoch
         };
-        self.record.line(&format!("rank {rank} crashes as it begins to answer {attempt}"));
+        self.record
+            .line(&format!("rank {rank} crashes as it begins to answer {attempt}"));
         std::thread::sleep(Duration::from_millis(3));
-        self.connections.lock().unwrap_or_else(|e| e.into_inner()).retain(|(r, stream)| {
-            if *r == rank {
-                let _closed = stream.shutdown(std::net::Shutdown::Both);
-            }
-            *r != rank
-        });
+        self.connections
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .retain(|(r, stream)| {
+                if *r == rank {
+                    let _closed = stream.shutdown(std::net::Shutdown::Both);
+                }
+                *r != rank
+            });
         let group = self.clone();
         std::thread::spawn(move || {
             std::thread::sleep(AWAY);
@@ -200,7 +214,10 @@
                 return false;
             }
             let event = format!("id: {number}\ndata: {}\n\n", "t".repeat(48));
-            if writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_err() {
+            if writer
+                .write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+                .is_err()
+            {
                 return false;
             }
             std::thread::sleep(EVENT_TIME);
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -48,7 +48,9 @@
     let headers = lines[1..].iter().filter_map(|l| l.split_once(':'));
     Some(Message {
         start: lines[0].clone(),
-        headers: headers.map(|(n, v)| (n.trim().to_owned(), v.trim().to_owned())).collect(),
+        headers: headers
+            .map(|(n, v)| (n.trim().to_owned(), v.trim().to_owned()))
+            .collect(),
         body: Vec::new(),
     })
 }
@@ -56,7 +58,10 @@
 /// Reads a request with its body.
 pub fn read_request(reader: &mut std::io::BufReader<TcpStream>) -> Option<Message> {
     let mut message = read_head(reader)?;
-    let length = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let length = message
+        .header("content-length")
+        .and_then(|l| l.parse().ok())
+        .unwrap_or(0);
     message.body = vec![0; length];
     reader.read_exact(&mut message.body).ok()?;
     Some(message)
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -24,7 +24,9 @@
     record.line(&format!("case {case}, trouble {}", u8::from(trouble)));
     let name = case.clone();
     let in_case = record.clone();
-    let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(move || cases::run(&name, trouble, &in_case)));
+    let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(move || {
+        cases::run(&name, trouble, &in_case)
+    }));
     let code = match outcome {
         Ok(Ok(true)) => 0,
         Ok(Ok(false)) => 1,
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -66,10 +66,16 @@
                 }
                 continue;
             }
-            self.record.line(&format!("replica {} begins {} {} {attempt}", self.id, req.method(), req.target()));
-            self.runs.lock().unwrap_or_else(|e| e.into_inner()).push(Run {
-                attempt,
-            });
+            self.record.line(&format!(
+                "replica {} begins {} {} {attempt}",
+                self.id,
+                req.method(),
+                req.target()
+            ));
+            self.runs
+                .lock()
+                .unwrap_or_else(|e| e.into_inner())
+                .push(Run { attempt });
             if !(self.behaviour)(self, &req, &mut writer) {
                 return;
             }
@@ -88,10 +94,17 @@
     /// Sends a complete answer.
     pub fn answer(&self, req: &http::Message, writer: &mut TcpStream, body: &[u8]) -> bool {
         let head = format!("{}Content-Length: {}\r\n\r\n", self.head(req), body.len());
-        writer.write_all(head.as_bytes()).and_then(|()| writer.write_all(body)).is_ok()
+        writer
+            .write_all(head.as_bytes())
+            .and_then(|()| writer.write_all(body))
+            .is_ok()
     }
 
     pub fn has_run(&self, attempt: &str) -> bool {
-        self.runs.lock().unwrap_or_else(|e| e.into_inner()).iter().any(|r| r.attempt == attempt)
+        self.runs
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .iter()
+            .any(|r| r.attempt == attempt)
     }
 }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -157,8 +157,14 @@
         let rows: Vec<String> = rows
             .iter()
             .map(|r| {
-                let value = r.value.as_ref().map_or("\"tombstone\":true".to_owned(), |v| format!("\"value\":\"{v}\""));
-                format!("{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{}\",\"ver\":{},{value}}}", r.key, r.ver)
+                let value = r
+                    .value
+                    .as_ref()
+                    .map_or("\"tombstone\":true".to_owned(), |v| format!("\"value\":\"{v}\""));
+                format!(
+                    "{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{}\",\"ver\":{},{value}}}",
+                    r.key, r.ver
+                )
             })
             .collect();
         format!(
@@ -180,7 +186,12 @@
             if left.is_zero() {
                 break;
             }
-            state = self.state.1.wait_timeout(state, left).unwrap_or_else(|e| e.into_inner()).0;
+            state = self
+                .state
+                .1
+                .wait_timeout(state, left)
+                .unwrap_or_else(|e| e.into_inner())
+                .0;
         }
         if state.down {
             return (503, "{}".to_owned());
@@ -195,7 +206,10 @@
         };
         let holds = transaction.get("precondition").list().iter().all(|p| {
             let state = self.state.0.lock().unwrap_or_else(|e| e.into_inner());
-            let row = state.rows.iter().find(|r| r.table == p.get("table").text() && r.key == p.get("key").text());
+            let row = state
+                .rows
+                .iter()
+                .find(|r| r.table == p.get("table").text() && r.key == p.get("key").text());
             let ver = row.filter(|r| r.value.is_some()).map_or(0, |r| r.ver);
             Some(ver) == p.get("ver").number()
         });
@@ -204,7 +218,11 @@
         }
         let mut ver = 0;
         for put in transaction.get("puts").list() {
-            ver = self.put_base64(put.get("table").text(), put.get("key").text(), Some(put.get("value").text().to_owned()));
+            ver = self.put_base64(
+                put.get("table").text(),
+                put.get("key").text(),
+                Some(put.get("value").text().to_owned()),
+            );
         }
         (200, format!("{{\"ver\":{ver},\"nowMs\":{}}}", self.now_ms()))
     }
