--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -85,7 +85,7 @@
     /// Head of a success with the replica's signature, without the line that frames the body.
     pub fn head(&self, req: &http::Message) -> String {
         format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Replica-Signature: s.{}\r\nX-Replica-Load: 1,0,12\r\nKeep-Alive: timeout=5\r\n",
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Replica-Signature: s.{}\r\nKeep-Alive: timeout=5\r\n",
             req.header("x-attempt-id").unwrap_or_default(),
             self.id
         )
