Count what callers are owed when a gateway stops

"gateway draining" and "gateway stopped" now count open connections to callers, heads that have begun, requests in flight and responses that the HTTP library has and the connection has not taken. Nothing else changes, but that connections to the monitoring address are no longer counted as open, since nobody is owed anything there.

--- a/crates/gateway/src/idle_watch.rs
+++ b/crates/gateway/src/connection_watch.rs
@@ -1,29 +1,37 @@
-//! Timeouts of a caller's connection: for idling, and for sending a request head.
+//! What is under way on a caller's connection, and its timeouts: for idling, and for sending a request head.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
+use crate::count_guard;
+use crate::owed_counts;
+
 /// The state of a connection that its timeouts depend on.
 #[derive(Debug)]
 struct ConnectionState {
-    /// The number of requests in progress.
+    owed: owed_counts::OwedCounts,
+    /// The number of requests whose responses are not handed over to the HTTP library.
     busy: Cell<u32>,
     /// When the first byte of a request head arrived, while the head is incomplete.
     head_since: Cell<Option<Instant>>,
+    /// Counts the incomplete head.
+    head: RefCell<Option<count_guard::CountGuard>>,
+    /// Counts a response that was handed over and is not completely written.
+    unwritten: RefCell<Option<count_guard::CountGuard>>,
     /// When the last response was completed, or the connection was opened.
     idle_since: Cell<Instant>,
 }
 
 /// Tracks the activity of one connection. Clones track the same connection.
 #[derive(Debug, Clone)]
-pub(crate) struct IdleWatch {
+pub(crate) struct ConnectionWatch {
     state: Rc<ConnectionState>,
 }
 
@@ -38,22 +46,28 @@
     CloseSlowHead,
 }
 
-impl IdleWatch {
-    pub(crate) fn new() -> Self {
+impl ConnectionWatch {
+    /// Creates the watch of a new connection, which counts in `owed` what is under way on it.
+    pub(crate) fn new(owed: owed_counts::OwedCounts) -> Self {
         let state = ConnectionState {
+            owed,
             busy: Cell::new(0),
             head_since: Cell::new(None),
+            head: RefCell::default(),
+            unwritten: RefCell::default(),
             idle_since: Cell::new(Instant::now()),
         };
         Self { state: Rc::new(state) }
     }
 
     /// Records that a request head was read. The request is in progress until the guard is dropped.
-    pub(crate) fn request_started(&self) -> BusyGuard {
+    pub(crate) fn request_started(&self) -> RequestGuard {
         self.state.head_since.set(None);
+        self.state.head.replace(None);
         self.state.busy.set(self.state.busy.get() + 1);
-        BusyGuard {
+        RequestGuard {
             state: Rc::clone(&self.state),
+            _counted: self.state.owed.count_request(),
         }
     }
 
@@ -81,28 +95,31 @@
     }
 }
 
-/// A guard that marks a request as in progress until it is dropped.
+/// A guard that marks a request as in progress until its response was handed over to the HTTP library.
 #[derive(Debug)]
-pub(crate) struct BusyGuard {
+pub(crate) struct RequestGuard {
     state: Rc<ConnectionState>,
+    _counted: count_guard::CountGuard,
 }
 
-impl Drop for BusyGuard {
+impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.state.busy.set(self.state.busy.get() - 1);
-        self.state.idle_since.set(Instant::now());
+        let state = &self.state;
+        state.busy.set(state.busy.get() - 1);
+        state.unwritten.replace(Some(state.owed.count_unwritten()));
+        state.idle_since.set(Instant::now());
     }
 }
 
-/// A connection that records when the first byte of a request head arrives.
+/// A connection that records when the first byte of a request head arrives, and when responses are written.
 #[derive(Debug)]
 pub(crate) struct WatchedIo<S> {
     inner: S,
-    watch: IdleWatch,
+    watch: ConnectionWatch,
 }
 
 impl<S> WatchedIo<S> {
-    pub(crate) fn new(inner: S, watch: IdleWatch) -> Self {
+    pub(crate) fn new(inner: S, watch: ConnectionWatch) -> Self {
         Self { inner, watch }
     }
 }
@@ -117,6 +134,7 @@
         let state = &self.watch.state;
         if buf.filled().len() > before && state.busy.get() == 0 && state.head_since.get().is_none() {
             state.head_since.set(Some(Instant::now()));
+            state.head.replace(Some(state.owed.count_head()));
         }
         polled
     }
@@ -130,8 +148,12 @@
         Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
+    /// Flushes. The HTTP library calls this only once its buffer is empty, so that all that was handed over is written
+    /// then.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+        let flushed = ready!(Pin::new(&mut self.inner).poll_flush(cx));
+        self.watch.state.unwritten.replace(None);
+        Poll::Ready(flushed)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -17,6 +17,7 @@
 
 use crate::header_adapter;
 use crate::metrics;
+use crate::owed_counts;
 use crate::pool;
 use crate::service_map;
 use crate::settings;
@@ -51,10 +52,8 @@
     pub(crate) buffered_bytes: Rc<Cell<usize>>,
     /// The number of bytes of larger request bodies that are buffered.
     pub(crate) request_body_bytes: Rc<Cell<usize>>,
-    /// The number of requests whose responses are not yet fully written.
-    pub(crate) in_flight: Rc<Cell<usize>>,
-    /// The number of open connections to callers and to the monitoring address.
-    pub(crate) open_connections: Rc<Cell<usize>>,
+    /// What the callers of this instance are owed.
+    pub(crate) owed: owed_counts::OwedCounts,
     /// Whether the process is draining.
     pub(crate) draining: watch::Receiver<bool>,
     /// When draining started.
@@ -79,23 +78,3 @@
         self.rng.borrow_mut().random()
     }
 }
-
-/// A guard that is counted until it is dropped.
-pub(crate) struct CountGuard {
-    count: Rc<Cell<usize>>,
-}
-
-impl CountGuard {
-    pub(crate) fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self {
-            count: Rc::clone(count),
-        }
-    }
-}
-
-impl Drop for CountGuard {
-    fn drop(&mut self) {
-        self.count.set(self.count.get() - 1);
-    }
-}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -16,9 +16,9 @@
 use tokio::time;
 
 use crate::call;
+use crate::connection_watch;
 use crate::context;
 use crate::header_adapter;
-use crate::idle_watch;
 use crate::monitoring;
 use crate::proxy;
 use crate::refuse;
@@ -39,18 +39,18 @@
 /// Responds to a caller's request.
 pub(crate) async fn handle(
     cx: Rc<context::GatewayContext>,
-    watch: idle_watch::IdleWatch,
+    watch: connection_watch::ConnectionWatch,
     req: Request<Incoming>,
 ) -> Response<response_body::ResponseBody> {
-    let (in_flight, busy) = (context::CountGuard::new(&cx.in_flight), watch.request_started());
+    let guard = watch.request_started();
     let response = respond(&cx, req).await;
-    response.map(|body| body.with_guards(in_flight, busy))
+    response.map(|body| body.with_guard(guard))
 }
 
 /// Responds to a request to the monitoring address.
 pub(crate) async fn handle_monitoring(
     cx: Rc<context::GatewayContext>,
-    watch: idle_watch::IdleWatch,
+    watch: connection_watch::ConnectionWatch,
     req: Request<Incoming>,
 ) -> Response<response_body::ResponseBody> {
     let _busy = watch.request_started();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,17 +32,19 @@
 
 mod attempt;
 mod call;
+mod connection_watch;
 mod context;
 mod control;
+mod count_guard;
 mod crash_watch;
 mod endpoint_facts;
 mod error;
 mod fact_exchange;
 mod handle;
 pub mod header_adapter;
-mod idle_watch;
 mod metrics;
 mod monitoring;
+mod owed_counts;
 mod own_rows;
 mod peer_link;
 mod peers;
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -8,8 +8,7 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 
-use crate::context;
-use crate::idle_watch;
+use crate::connection_watch;
 
 /// The error that ends a streamed response early. It makes hyper close the connection without the end of the body, so
 /// that the caller sees that the response is incomplete.
@@ -28,8 +27,8 @@
 /// The body of a response to a caller.
 pub(crate) struct ResponseBody {
     source: BodySource,
-    /// The guards that are dropped together with the body, when the response is written.
-    guards: Option<(context::CountGuard, idle_watch::BusyGuard)>,
+    /// Dropped together with the body, when the response is handed over to the HTTP library.
+    guard: Option<connection_watch::RequestGuard>,
 }
 
 impl ResponseBody {
@@ -37,7 +36,7 @@
     pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
         Self {
             source: BodySource::Whole(Some(bytes.into()).filter(|b: &Bytes| !b.is_empty())),
-            guards: None,
+            guard: None,
         }
     }
 
@@ -45,13 +44,13 @@
     pub(crate) fn stream(rx: mpsc::Receiver<Result<Bytes, StreamAborted>>) -> Self {
         Self {
             source: BodySource::Stream(rx),
-            guards: None,
+            guard: None,
         }
     }
 
-    /// Keeps the request in flight and the connection busy until the body is dropped.
-    pub(crate) fn with_guards(mut self, in_flight: context::CountGuard, busy: idle_watch::BusyGuard) -> Self {
-        self.guards = Some((in_flight, busy));
+    /// Keeps the request in progress until the body is dropped.
+    pub(crate) fn with_guard(mut self, guard: connection_watch::RequestGuard) -> Self {
+        self.guard = Some(guard);
         self
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::handle;
 use crate::header_adapter;
 use crate::metrics;
+use crate::owed_counts;
 use crate::peers;
 use crate::pool;
 use crate::server;
@@ -93,8 +94,7 @@
         metrics: metrics::Metrics::new(),
         buffered_bytes: Rc::default(),
         request_body_bytes: Rc::default(),
-        in_flight: Rc::default(),
-        open_connections: Rc::default(),
+        owed: owed_counts::OwedCounts::default(),
         draining,
         drain_started: Cell::new(None),
         log,
@@ -112,9 +112,16 @@
         // A dropped sender means that the process is exiting, which is treated the same.
         let _closing = close_rx.await;
     };
-    let accepting = tokio::task::spawn_local(server::accept(Rc::clone(&cx), callers, handle::handle, closing));
+    let accepting = tokio::task::spawn_local(server::accept(
+        Rc::clone(&cx),
+        cx.owed.clone(),
+        callers,
+        handle::handle,
+        closing,
+    ));
     tokio::task::spawn_local(server::accept(
         Rc::clone(&cx),
+        owed_counts::OwedCounts::default(),
         monitoring_listener,
         handle::handle_monitoring,
         std::future::pending(),
@@ -128,7 +135,8 @@
     drain(&cx).await;
     drop(close_tx);
     finish_connections(&cx, accepting).await;
-    info!(cx.log, "gateway stopped"; "in_flight" => cx.in_flight.get(), "open" => cx.open_connections.get());
+    info!(cx.log, "gateway stopped"; "in_flight" => cx.owed.requests(),
+        "open" => cx.owed.connections(), "heads" => cx.owed.heads(), "unwritten" => cx.owed.unwritten());
     Ok(())
 }
 
@@ -150,10 +158,11 @@
 /// Serves until the platform's balancer sends no more connections and no request is in flight, but no longer than the
 /// grace period allows.
 async fn drain(cx: &context::GatewayContext) {
-    info!(cx.log, "gateway draining"; "in_flight" => cx.in_flight.get());
+    info!(cx.log, "gateway draining"; "in_flight" => cx.owed.requests(),
+        "open" => cx.owed.connections(), "heads" => cx.owed.heads(), "unwritten" => cx.owed.unwritten());
     let end = time::Instant::now() + cx.settings.stop_grace.saturating_sub(drain::CLOSE_MARGIN);
     time::sleep(ACCEPT_WHILE_DRAINING).await;
-    while cx.in_flight.get() > 0 && time::Instant::now() < end {
+    while cx.owed.requests() > 0 && time::Instant::now() < end {
         time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
@@ -164,7 +173,7 @@
     // The task only ends early if it panics, in which case there is nothing to wait for.
     let _accepted = accepting.await;
     let end = time::Instant::now() + FINISH_TIMEOUT;
-    while cx.open_connections.get() > 0 && time::Instant::now() < end {
+    while cx.owed.connections() > 0 && time::Instant::now() < end {
         time::sleep(FINISH_POLL_INTERVAL).await;
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -16,9 +16,10 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::connection_watch;
 use crate::context;
 use crate::error;
-use crate::idle_watch;
+use crate::owed_counts;
 use crate::response_body;
 
 /// The pause after a failed accept, which mostly means that the process is out of file descriptors.
@@ -38,22 +39,28 @@
     bound.map_err(|source| error::GatewayError::Bind { what, addr, source })
 }
 
-/// Accepts connections and responds to their requests with `respond` until `stop` completes.
+/// Accepts connections and responds to their requests with `respond` until `stop` completes. What their callers are owed is
+/// counted in `owed`.
 ///
 /// Connections that are waiting to be accepted at that time are still accepted, since their callers may already have
 /// sent a request. Later ones are refused.
-pub(crate) async fn accept<F, R, S>(cx: Rc<context::GatewayContext>, listener: TcpListener, respond: F, stop: S)
-where
-    F: Fn(Rc<context::GatewayContext>, idle_watch::IdleWatch, Request<Incoming>) -> R + Clone + 'static,
+pub(crate) async fn accept<F, R, S>(
+    cx: Rc<context::GatewayContext>,
+    owed: owed_counts::OwedCounts,
+    listener: TcpListener,
+    respond: F,
+    stop: S,
+) where
+    F: Fn(Rc<context::GatewayContext>, connection_watch::ConnectionWatch, Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Response<response_body::ResponseBody>> + 'static,
     S: Future<Output = ()>,
 {
     let mut stop = std::pin::pin!(stop);
     let serve_connection = |stream| {
-        let (cx, respond) = (Rc::clone(&cx), respond.clone());
-        let open = context::CountGuard::new(&cx.open_connections);
+        let (cx, owed, respond) = (Rc::clone(&cx), owed.clone(), respond.clone());
+        let open = owed.count_connection();
         tokio::task::spawn_local(async move {
-            serve(cx, stream, respond).await;
+            serve(cx, owed, stream, respond).await;
             drop(open);
         });
     };
@@ -89,14 +96,14 @@
 }
 
 /// Serves one connection until either side closes it, a timeout expires or the gateway has drained.
-async fn serve<F, R>(cx: Rc<context::GatewayContext>, stream: TcpStream, respond: F)
+async fn serve<F, R>(cx: Rc<context::GatewayContext>, owed: owed_counts::OwedCounts, stream: TcpStream, respond: F)
 where
-    F: Fn(Rc<context::GatewayContext>, idle_watch::IdleWatch, Request<Incoming>) -> R + 'static,
+    F: Fn(Rc<context::GatewayContext>, connection_watch::ConnectionWatch, Request<Incoming>) -> R + 'static,
     R: Future<Output = Response<response_body::ResponseBody>> + 'static,
 {
     // Without this option, small writes wait for the acknowledgement of earlier ones. The connection works either way.
     let _nodelay = stream.set_nodelay(true);
-    let watch = idle_watch::IdleWatch::new();
+    let watch = connection_watch::ConnectionWatch::new(owed);
     let mut draining = cx.draining.clone();
     let (handler_cx, handler_watch) = (Rc::clone(&cx), watch.clone());
     let handler = service::service_fn(move |req| {
@@ -109,19 +116,22 @@
     let connection = http1::Builder::new()
         .keep_alive(!is_draining)
         .max_buf_size(limits(&cx).head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(idle_watch::WatchedIo::new(stream, watch.clone())), handler);
+        .serve_connection(
+            TokioIo::new(connection_watch::WatchedIo::new(stream, watch.clone())),
+            handler,
+        );
     let mut connection = std::pin::pin!(connection);
     loop {
         let limits = limits(&cx);
         let deadline = match watch.next_action(limits.head_timeout, limits.idle_timeout) {
-            idle_watch::TimeoutAction::WaitUntil(at) => at,
-            idle_watch::TimeoutAction::CloseIdle => {
+            connection_watch::TimeoutAction::WaitUntil(at) => at,
+            connection_watch::TimeoutAction::CloseIdle => {
                 connection.as_mut().graceful_shutdown();
                 // No request is in flight on an idle connection, so this completes immediately.
                 let _ended = time::timeout(limits.head_timeout, connection).await;
                 return;
             }
-            idle_watch::TimeoutAction::CloseSlowHead => return,
+            connection_watch::TimeoutAction::CloseSlowHead => return,
         };
         tokio::select! {
             // An error here means that the caller closed the connection, which needs no action.
