A stopping gateway completes what its callers are owed

Cause: the stop looked at the number of requests in flight once it was 0, and then ended 250 ms later, whatever had begun meanwhile on connections that were open. Evidence: "gateway stopped" counts in_flight 1 for requests that are complete 2.63 to 2.80 s after the signal, and heads 1 for later ones. Two related paths ended in the same 250 ms: a response that the HTTP library holds and the caller hasn't read (in_flight is 0 then), and a kept connection on which a head has begun, which the library takes for idle when it is asked to shut down.

Ruled out: the listener's queue (an endpoint has the request), and the shutdown of connections at the signal for requests on new connections (all are cut when the process ends).

Change: a stop is a sequence of phases, decided in core::direct::drain from counts of what is owed: accepting, finishing, ending, over. While accepting, it waits for requests and begun heads; while finishing, for all connections to callers, of which those without any request close after 250 ms. It ends when nothing is open, or 100 ms before the kill. A request counts until its response is written to the connection. Handlers of signals are installed before any address is bound.

--- a/crates/gateway/src/connection_watch.rs
+++ b/crates/gateway/src/connection_watch.rs
@@ -19,14 +19,16 @@
     owed: owed_counts::OwedCounts,
     /// The number of requests whose responses are not handed over to the HTTP library.
     busy: Cell<u32>,
+    /// Counts a request whose response was handed over and is not completely written.
+    unwritten: RefCell<Option<count_guard::CountGuard>>,
     /// When the first byte of a request head arrived, while the head is incomplete.
     head_since: Cell<Option<Instant>>,
     /// Counts the incomplete head.
     head: RefCell<Option<count_guard::CountGuard>>,
-    /// Counts a response that was handed over and is not completely written.
-    unwritten: RefCell<Option<count_guard::CountGuard>>,
-    /// When the last response was completed, or the connection was opened.
+    /// When the last response was handed over, or the connection was opened.
     idle_since: Cell<Instant>,
+    /// Whether a request head was ever read.
+    is_used: Cell<bool>,
 }
 
 /// Tracks the activity of one connection. Clones track the same connection.
@@ -35,15 +37,45 @@
     state: Rc<ConnectionState>,
 }
 
+/// The timeouts of a connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Timeouts {
+    /// The longest time for a request head.
+    pub(crate) head: Duration,
+    /// The longest time without a request.
+    pub(crate) idle: Duration,
+    /// When a connection without any request is to be closed, once the instance accepts no more connections.
+    pub(crate) unused_end: Option<Instant>,
+}
+
+/// The reason to close a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CloseReason {
+    /// It was idle for too long.
+    Idle,
+    /// A request head was not complete in time.
+    SlowHead,
+    /// The instance is stopping, and the connection had no request.
+    Unused,
+}
+
 /// The action that the timeouts of a connection require.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TimeoutAction {
     /// No timeout expires before this time. Check again then.
     WaitUntil(Instant),
-    /// Close the connection, which was idle for too long.
-    CloseIdle,
-    /// Close the connection, since a request head was not complete in time.
-    CloseSlowHead,
+    /// Close the connection.
+    Close(CloseReason),
+}
+
+impl TimeoutAction {
+    fn at(end: Instant, now: Instant, reason: CloseReason) -> Self {
+        if end <= now {
+            Self::Close(reason)
+        } else {
+            Self::WaitUntil(end)
+        }
+    }
 }
 
 impl ConnectionWatch {
@@ -52,45 +84,52 @@
         let state = ConnectionState {
             owed,
             busy: Cell::new(0),
+            unwritten: RefCell::default(),
             head_since: Cell::new(None),
             head: RefCell::default(),
-            unwritten: RefCell::default(),
             idle_since: Cell::new(Instant::now()),
+            is_used: Cell::new(false),
         };
         Self { state: Rc::new(state) }
     }
 
-    /// Records that a request head was read. The request is in progress until the guard is dropped.
+    /// Records that a request head was read. The request is in progress until the guard is dropped and all that was handed
+    /// over by then is written.
     pub(crate) fn request_started(&self) -> RequestGuard {
-        self.state.head_since.set(None);
-        self.state.head.replace(None);
-        self.state.busy.set(self.state.busy.get() + 1);
+        let state = &self.state;
+        state.head_since.set(None);
+        state.head.replace(None);
+        state.is_used.set(true);
+        state.busy.set(state.busy.get() + 1);
         RequestGuard {
-            state: Rc::clone(&self.state),
-            _counted: self.state.owed.count_request(),
+            state: Rc::clone(state),
+            counted: Some(state.owed.count_request()),
         }
     }
 
-    /// Returns the action that the given timeouts require now.
-    pub(crate) fn next_action(&self, head_timeout: Duration, idle_timeout: Duration) -> TimeoutAction {
-        let now = Instant::now();
-        if self.state.busy.get() > 0 {
-            return TimeoutAction::WaitUntil(now + idle_timeout);
+    /// Returns whether a request was read, and no further request has begun.
+    pub(crate) fn is_between_requests(&self) -> bool {
+        self.state.is_used.get() && self.state.head_since.get().is_none()
+    }
+
+    /// Returns the action that `timeouts` require now.
+    pub(crate) fn next_action(&self, timeouts: &Timeouts) -> TimeoutAction {
+        let (state, now) = (&self.state, Instant::now());
+        if state.busy.get() > 0 {
+            return TimeoutAction::WaitUntil(now + timeouts.idle);
         }
-        if let Some(since) = self.state.head_since.get() {
-            let end = since + head_timeout;
-            return if end <= now {
-                TimeoutAction::CloseSlowHead
-            } else {
-                TimeoutAction::WaitUntil(end)
-            };
+        if let Some(since) = state.head_since.get() {
+            return TimeoutAction::at(since + timeouts.head, now, CloseReason::SlowHead);
         }
-        let end = self.state.idle_since.get() + idle_timeout;
-        // A head may begin at any time, and its timeout starts then. So check again after at most `head_timeout`.
-        if end <= now {
-            TimeoutAction::CloseIdle
-        } else {
-            TimeoutAction::WaitUntil(end.min(now + head_timeout))
+        let idle_end = state.idle_since.get() + timeouts.idle;
+        let (end, reason) = match timeouts.unused_end.filter(|_| !state.is_used.get()) {
+            Some(unused_end) if unused_end < idle_end => (unused_end, CloseReason::Unused),
+            _ => (idle_end, CloseReason::Idle),
+        };
+        // A head may begin at any time, and its timeout starts then. So check again after at most its length.
+        match TimeoutAction::at(end, now, reason) {
+            TimeoutAction::WaitUntil(end) => TimeoutAction::WaitUntil(end.min(now + timeouts.head)),
+            close @ TimeoutAction::Close(_) => close,
         }
     }
 }
@@ -99,14 +138,15 @@
 #[derive(Debug)]
 pub(crate) struct RequestGuard {
     state: Rc<ConnectionState>,
-    _counted: count_guard::CountGuard,
+    /// Counts the request, also after the guard until the response is written.
+    counted: Option<count_guard::CountGuard>,
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let state = &self.state;
         state.busy.set(state.busy.get() - 1);
-        state.unwritten.replace(Some(state.owed.count_unwritten()));
+        state.unwritten.replace(self.counted.take());
         state.idle_since.set(Instant::now());
     }
 }
@@ -152,7 +192,8 @@
     /// then.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = ready!(Pin::new(&mut self.inner).poll_flush(cx));
-        self.watch.state.unwritten.replace(None);
+        let state = &self.watch.state;
+        state.unwritten.replace(None);
         Poll::Ready(flushed)
     }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -54,10 +54,10 @@
     pub(crate) request_body_bytes: Rc<Cell<usize>>,
     /// What the callers of this instance are owed.
     pub(crate) owed: owed_counts::OwedCounts,
-    /// Whether the process is draining.
-    pub(crate) draining: watch::Receiver<bool>,
-    /// When draining started.
-    pub(crate) drain_started: Cell<Option<time::Time>>,
+    /// The phase of a stop.
+    pub(crate) stop_phase: watch::Receiver<drain::StopPhase>,
+    /// When the signal to stop came.
+    pub(crate) stop_requested: Cell<Option<time::Time>>,
     pub(crate) log: Logger,
 }
 
@@ -69,10 +69,22 @@
 
     /// Returns whether a request that may take up to `timeout` is still accepted.
     pub(crate) fn accepts_request(&self, timeout: Duration) -> bool {
-        let since = self.drain_started.get().map(|at| boot_clock::now().since(at));
+        let since = self.stop_requested.get().map(|at| boot_clock::now().since(at));
         drain::accepts_requests(since, self.settings.stop_grace, timeout)
     }
 
+    /// Returns whether a stop was requested.
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.stop_phase.borrow() > drain::StopPhase::Running
+    }
+
+    /// Waits until a stop has reached `phase`.
+    pub(crate) async fn stop_reaches(&self, phase: drain::StopPhase) {
+        let mut stop_phase = self.stop_phase.clone();
+        // The sender lives as long as the process. If it is dropped, the process is exiting, which is treated the same.
+        let _reached = stop_phase.wait_for(|current| *current >= phase).await;
+    }
+
     /// Returns a random number from 0 to 1.
     pub(crate) fn random_fraction(&self) -> f64 {
         self.rng.borrow_mut().random()
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response, header};
+use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::info;
@@ -31,6 +31,9 @@
 /// The largest part of a refused body that is read and discarded, in bytes.
 const MAX_DISCARDED_BYTES: usize = 64 << 20;
 
+/// The value of the `Connection` header of the last response on a connection.
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
 /// The size up to which every request body is buffered, in bytes. Larger ones share [`MAX_BODY_BYTES`].
 const SMALL_BODY_BYTES: usize = 16 << 10;
 /// The largest number of bytes that all larger request bodies together may take.
@@ -43,7 +46,11 @@
     req: Request<Incoming>,
 ) -> Response<response_body::ResponseBody> {
     let guard = watch.request_started();
-    let response = respond(&cx, req).await;
+    let mut response = respond(&cx, req).await;
+    if cx.is_draining() {
+        // The connection closes after this response, since the next request is better sent elsewhere.
+        response.headers_mut().insert(header::CONNECTION, CLOSE);
+    }
     response.map(|body| body.with_guard(guard))
 }
 
--- a/crates/gateway/src/monitoring.rs
+++ b/crates/gateway/src/monitoring.rs
@@ -32,7 +32,7 @@
 pub(crate) fn is_ready(cx: &context::GatewayContext) -> bool {
     let snapshot = cx.snapshot();
     let fresh = snapshot.freshness.allows_keys(boot_clock::now(), max_key_age(cx));
-    snapshot.declared.is_some() && snapshot.endpoints_known && fresh && !*cx.draining.borrow()
+    snapshot.declared.is_some() && snapshot.endpoints_known && fresh && !cx.is_draining()
 }
 
 /// Returns the longest time since the last confirmation for which keys are accepted.
--- a/crates/gateway/src/owed_counts.rs
+++ b/crates/gateway/src/owed_counts.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use sycamorestile_core::direct::drain;
+
 use crate::count_guard;
 
 /// Counts of what the callers of a server are owed. Clones share the counts.
@@ -12,27 +14,18 @@
     connections: Rc<Cell<usize>>,
     /// The number of connections on which a request head has begun and is not complete.
     heads: Rc<Cell<usize>>,
-    /// The number of requests whose heads were read and whose responses are not handed over to the HTTP library.
+    /// The number of requests whose heads were read and whose responses are not completely written.
     requests: Rc<Cell<usize>>,
-    /// The number of connections on which a response was handed over and is not completely written.
-    unwritten: Rc<Cell<usize>>,
 }
 
 impl OwedCounts {
-    pub(crate) fn connections(&self) -> usize {
-        self.connections.get()
-    }
-
-    pub(crate) fn heads(&self) -> usize {
-        self.heads.get()
-    }
-
-    pub(crate) fn requests(&self) -> usize {
-        self.requests.get()
-    }
-
-    pub(crate) fn unwritten(&self) -> usize {
-        self.unwritten.get()
+    /// Returns what callers are owed now.
+    pub(crate) fn owed(&self) -> drain::Owed {
+        drain::Owed {
+            connections: self.connections.get(),
+            heads: self.heads.get(),
+            requests: self.requests.get(),
+        }
     }
 
     pub(crate) fn count_connection(&self) -> count_guard::CountGuard {
@@ -46,8 +39,4 @@
     pub(crate) fn count_request(&self) -> count_guard::CountGuard {
         count_guard::CountGuard::new(&self.requests)
     }
-
-    pub(crate) fn count_unwritten(&self) -> count_guard::CountGuard {
-        count_guard::CountGuard::new(&self.unwritten)
-    }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -201,7 +201,7 @@
     retry_share::Sharers {
         instances: (snapshot.gateways_known && is_counted).then_some(instances),
         is_system_start: cx.settings.is_system_start,
-        is_draining: *cx.draining.borrow(),
+        is_draining: cx.is_draining(),
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,11 +8,12 @@
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info, warn};
 use sycamorestile_core::direct::{drain, outage, pacing, placement, restrictions, retry_share};
+use sycamorestile_core::time::Time;
 use sycamorestile_table::{adapter, boot_clock};
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, watch};
 use tokio::task::{JoinHandle, LocalSet};
 use tokio::time;
 
@@ -30,20 +31,13 @@
 use crate::service_map;
 use crate::settings;
 
-/// The time for which a draining gateway still accepts connections. The platform's balancer checks readiness once a
-/// second and stops sending new connections after two failed checks.
-const ACCEPT_WHILE_DRAINING: Duration = Duration::from_millis(2_600);
-/// How long a gateway that accepts no more connections waits for requests on those that are open.
-const FINISH_TIMEOUT: Duration = Duration::from_millis(250);
-/// The interval at which a draining gateway checks whether all requests are complete.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// The same interval while the last connections are served.
-const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The interval at which a gateway that stops checks what its callers are owed.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Runs a gateway with the platform's `header_adapter` and `adapter`.
 ///
-/// The gateway drains on SIGTERM or SIGINT, and the function returns when no request is in flight or the grace period
-/// is over.
+/// The gateway drains on SIGTERM or SIGINT, and the function returns when all its connections to callers are closed or the
+/// grace period is over.
 ///
 /// # Errors
 ///
@@ -70,9 +64,11 @@
     control: control::Control,
     log: Logger,
 ) -> Result<(), error::GatewayError> {
+    // Before any connection can be accepted, since a signal without a handler would cut it off.
+    let signals = StopSignals::new()?;
     let callers = server::bind("callers", settings.callers)?;
     let monitoring_listener = server::bind("monitoring", settings.monitoring)?;
-    let (drain_tx, draining) = watch::channel(false);
+    let (phase_tx, stop_phase) = watch::channel(drain::StopPhase::Running);
     let peers_addr = settings.peers;
     let (retry_limit, started) = (settings.retry_limit, boot_clock::now());
     let instance = Arc::clone(&settings.instance);
@@ -95,8 +91,8 @@
         buffered_bytes: Rc::default(),
         request_body_bytes: Rc::default(),
         owed: owed_counts::OwedCounts::default(),
-        draining,
-        drain_started: Cell::new(None),
+        stop_phase,
+        stop_requested: Cell::new(None),
         log,
     });
     let bind = |source| error::GatewayError::Bind {
@@ -107,73 +103,82 @@
     let socket = Rc::new(UdpSocket::bind(peers_addr).await.map_err(bind)?);
     tokio::task::spawn_local(peers::run(Rc::clone(&cx), Rc::clone(&socket), control.peer_reads));
     tokio::task::spawn_local(fact_exchange::run(Rc::clone(&cx), socket, control.fact_rows));
-    let (close_tx, close_rx) = oneshot::channel::<()>();
-    let closing = async move {
-        // A dropped sender means that the process is exiting, which is treated the same.
-        let _closing = close_rx.await;
-    };
-    let accepting = tokio::task::spawn_local(server::accept(
-        Rc::clone(&cx),
-        cx.owed.clone(),
-        callers,
-        handle::handle,
-        closing,
-    ));
+    let accepting = tokio::task::spawn_local(server::accept(Rc::clone(&cx), cx.owed.clone(), callers, handle::handle));
     tokio::task::spawn_local(server::accept(
         Rc::clone(&cx),
         owed_counts::OwedCounts::default(),
         monitoring_listener,
         handle::handle_monitoring,
-        std::future::pending(),
     ));
     info!(cx.log, "gateway started"; "instance" => cx.settings.instance.as_ref(),
         "failure_domain" => cx.settings.failure_domain.as_ref(), "callers" => %cx.settings.callers,
         "table" => %cx.settings.table, "is_system_start" => cx.settings.is_system_start);
-    wait_for_stop(&cx).await?;
-    cx.drain_started.set(Some(boot_clock::now()));
-    drain_tx.send_replace(true);
-    drain(&cx).await;
-    drop(close_tx);
-    finish_connections(&cx, accepting).await;
-    info!(cx.log, "gateway stopped"; "in_flight" => cx.owed.requests(),
-        "open" => cx.owed.connections(), "heads" => cx.owed.heads(), "unwritten" => cx.owed.unwritten());
+    signals.wait(&cx.log).await;
+    stop(&cx, &phase_tx, accepting).await;
+    let owed = cx.owed.owed();
+    info!(cx.log, "gateway stopped"; "in_flight" => owed.requests, "open" => owed.connections, "heads" => owed.heads);
     Ok(())
 }
 
-/// Waits for a signal to stop.
-async fn wait_for_stop(cx: &context::GatewayContext) -> Result<(), error::GatewayError> {
-    let failed = error::GatewayError::Signals;
-    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
-    loop {
-        tokio::select! {
-            _ = term.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => warn!(cx.log, "ignored SIGHUP; changed settings take effect at the next start"),
+/// The signals that a gateway handles. Their handlers stay installed until the process exits.
+struct StopSignals {
+    term: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl StopSignals {
+    fn new() -> Result<Self, error::GatewayError> {
+        let install = |kind| signal(kind).map_err(error::GatewayError::Signals);
+        Ok(Self {
+            term: install(SignalKind::terminate())?,
+            interrupt: install(SignalKind::interrupt())?,
+            hangup: install(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for a signal to stop.
+    async fn wait(mut self, log: &Logger) {
+        loop {
+            tokio::select! {
+                _ = self.term.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => warn!(log, "ignored SIGHUP; changed settings take effect at the next start"),
+            }
         }
     }
 }
 
-/// Serves until the platform's balancer sends no more connections and no request is in flight, but no longer than the
-/// grace period allows.
-async fn drain(cx: &context::GatewayContext) {
-    info!(cx.log, "gateway draining"; "in_flight" => cx.owed.requests(),
-        "open" => cx.owed.connections(), "heads" => cx.owed.heads(), "unwritten" => cx.owed.unwritten());
-    let end = time::Instant::now() + cx.settings.stop_grace.saturating_sub(drain::CLOSE_MARGIN);
-    time::sleep(ACCEPT_WHILE_DRAINING).await;
-    while cx.owed.requests() > 0 && time::Instant::now() < end {
-        time::sleep(DRAIN_POLL_INTERVAL).await;
+/// Passes through the phases of a stop, and returns when nothing is owed any more or the process is about to be killed.
+async fn stop(cx: &context::GatewayContext, phase_tx: &watch::Sender<drain::StopPhase>, accepting: JoinHandle<()>) {
+    let requested = boot_clock::now();
+    cx.stop_requested.set(Some(requested));
+    let mut accepting = Some(accepting);
+    let mut phase = drain::StopPhase::Accepting;
+    while phase != drain::StopPhase::Over {
+        phase_tx.send_replace(phase);
+        let owed = cx.owed.owed();
+        info!(cx.log, "gateway draining"; "phase" => format!("{phase:?}"), "in_flight" => owed.requests,
+            "open" => owed.connections, "heads" => owed.heads);
+        if phase == drain::StopPhase::Finishing
+            && let Some(accepting) = accepting.take()
+        {
+            // The connections that waited for it are open afterwards. The task only ends early if it panics, in which case
+            // there is nothing to wait for.
+            let _accepted = accepting.await;
+        }
+        phase = next_phase(cx, phase, requested).await;
     }
 }
 
-/// Serves the requests on connections that were accepted before the listener was closed. A connection without a request
-/// is closed after a moment.
-async fn finish_connections(cx: &context::GatewayContext, accepting: JoinHandle<()>) {
-    // The task only ends early if it panics, in which case there is nothing to wait for.
-    let _accepted = accepting.await;
-    let end = time::Instant::now() + FINISH_TIMEOUT;
-    while cx.owed.connections() > 0 && time::Instant::now() < end {
-        time::sleep(FINISH_POLL_INTERVAL).await;
+/// Waits until `phase` is over, and returns the next one.
+async fn next_phase(cx: &context::GatewayContext, phase: drain::StopPhase, requested: Time) -> drain::StopPhase {
+    loop {
+        let since = boot_clock::now().since(requested);
+        let next = drain::next_phase(phase, since, cx.settings.stop_grace, cx.owed.owed());
+        if next != phase {
+            return next;
+        }
+        time::sleep(STOP_POLL_INTERVAL).await;
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,9 +11,8 @@
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use slog::warn;
-use sycamorestile_core::direct::declarations;
+use sycamorestile_core::direct::{declarations, drain};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::watch;
 use tokio::time;
 
 use crate::connection_watch;
@@ -39,23 +38,20 @@
     bound.map_err(|source| error::GatewayError::Bind { what, addr, source })
 }
 
-/// Accepts connections and responds to their requests with `respond` until `stop` completes. What their callers are owed is
-/// counted in `owed`.
+/// Accepts connections and responds to their requests with `respond` until a stop needs no more connections. What their
+/// callers are owed is counted in `owed`.
 ///
 /// Connections that are waiting to be accepted at that time are still accepted, since their callers may already have
 /// sent a request. Later ones are refused.
-pub(crate) async fn accept<F, R, S>(
+pub(crate) async fn accept<F, R>(
     cx: Rc<context::GatewayContext>,
     owed: owed_counts::OwedCounts,
     listener: TcpListener,
     respond: F,
-    stop: S,
 ) where
     F: Fn(Rc<context::GatewayContext>, connection_watch::ConnectionWatch, Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Response<response_body::ResponseBody>> + 'static,
-    S: Future<Output = ()>,
 {
-    let mut stop = std::pin::pin!(stop);
     let serve_connection = |stream| {
         let (cx, owed, respond) = (Rc::clone(&cx), owed.clone(), respond.clone());
         let open = owed.count_connection();
@@ -64,6 +60,7 @@
             drop(open);
         });
     };
+    let mut stop = std::pin::pin!(cx.stop_reaches(drain::StopPhase::Finishing));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -95,7 +92,7 @@
     TcpStream::from_std(stream)
 }
 
-/// Serves one connection until either side closes it, a timeout expires or the gateway has drained.
+/// Serves one connection until either side closes it, a timeout expires or a stop has completed what was begun on it.
 async fn serve<F, R>(cx: Rc<context::GatewayContext>, owed: owed_counts::OwedCounts, stream: TcpStream, respond: F)
 where
     F: Fn(Rc<context::GatewayContext>, connection_watch::ConnectionWatch, Request<Incoming>) -> R + 'static,
@@ -104,54 +101,61 @@
     // Without this option, small writes wait for the acknowledgement of earlier ones. The connection works either way.
     let _nodelay = stream.set_nodelay(true);
     let watch = connection_watch::ConnectionWatch::new(owed);
-    let mut draining = cx.draining.clone();
     let (handler_cx, handler_watch) = (Rc::clone(&cx), watch.clone());
     let handler = service::service_fn(move |req| {
         let response = respond(Rc::clone(&handler_cx), handler_watch.clone(), req);
         async move { Ok::<_, Infallible>(response.await) }
     });
-    // A connection that arrives while the gateway drains serves one request. It must not be shut down as idle, since
-    // that request may already have been sent.
-    let mut is_draining = *draining.borrow();
     let connection = http1::Builder::new()
-        .keep_alive(!is_draining)
         .max_buf_size(limits(&cx).head_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(
             TokioIo::new(connection_watch::WatchedIo::new(stream, watch.clone())),
             handler,
         );
     let mut connection = std::pin::pin!(connection);
+    let mut stop_phase = cx.stop_phase.clone();
+    let mut unused_end = None;
+    let mut is_shut_down = false;
     loop {
+        let phase = *stop_phase.borrow_and_update();
+        if phase >= drain::StopPhase::Finishing {
+            unused_end.get_or_insert_with(|| time::Instant::now() + drain::UNUSED_CONNECTION_TIME);
+        }
+        // An idle connection is closed at once. The library would also take one for idle that has sent no request yet, or a
+        // part of a head; these are closed by the response to that request.
+        if phase > drain::StopPhase::Running && !is_shut_down && watch.is_between_requests() {
+            connection.as_mut().graceful_shutdown();
+            is_shut_down = true;
+        }
         let limits = limits(&cx);
-        let deadline = match watch.next_action(limits.head_timeout, limits.idle_timeout) {
+        let timeouts = connection_watch::Timeouts {
+            head: limits.head_timeout,
+            idle: limits.idle_timeout,
+            unused_end,
+        };
+        let deadline = match watch.next_action(&timeouts) {
             connection_watch::TimeoutAction::WaitUntil(at) => at,
-            connection_watch::TimeoutAction::CloseIdle => {
+            connection_watch::TimeoutAction::Close(connection_watch::CloseReason::Idle) => {
                 connection.as_mut().graceful_shutdown();
                 // No request is in flight on an idle connection, so this completes immediately.
                 let _ended = time::timeout(limits.head_timeout, connection).await;
                 return;
             }
-            connection_watch::TimeoutAction::CloseSlowHead => return,
+            connection_watch::TimeoutAction::Close(
+                connection_watch::CloseReason::SlowHead | connection_watch::CloseReason::Unused,
+            ) => return,
         };
         tokio::select! {
+            // What has arrived is read before the timeouts are judged.
+            biased;
             // An error here means that the caller closed the connection, which needs no action.
             _ended = connection.as_mut() => return,
+            Ok(()) = stop_phase.changed() => {}
             () = time::sleep_until(deadline) => {}
-            stop = wait_for_drain(&mut draining), if !is_draining => {
-                is_draining = stop;
-                connection.as_mut().graceful_shutdown();
-            }
         }
     }
 }
 
-/// Waits until the gateway drains and returns `true`.
-async fn wait_for_drain(draining: &mut watch::Receiver<bool>) -> bool {
-    // The sender lives as long as the process. If it is dropped, the process is exiting, which is treated the same.
-    let _changed = draining.wait_for(|stop| *stop).await;
-    true
-}
-
 /// Returns the callers' limits of the active declarations.
 fn limits(cx: &context::GatewayContext) -> declarations::CallerLimits {
     let snapshot = cx.snapshot();
