A connection on which a response is being written is not idle

Cause: the guard that marks a connection as busy lives in the response body, which the HTTP library drops as soon as it has the bytes.

Change: the connection is idle only once all bytes that were handed over are written to it. A caller that takes no byte of a response for idleTimeoutMs is closed on, with a line in the log: nothing else would ever end such a connection, which a stream could hold open before. The kernel's send buffer is bounded to 256 KB, since it tells of progress only in thirds of its size (up to 1.3 MB before, which a slow caller may take longer for than the timeout); it holds a round trip of 2 ms at 1 Gbit/s.

--- a/crates/gateway/src/connection_watch.rs
+++ b/crates/gateway/src/connection_watch.rs
@@ -1,4 +1,5 @@
-//! What is under way on a caller's connection, and its timeouts: for idling, and for sending a request head.
+//! What is under way on a caller's connection, and its timeouts: for idling, for sending a request head and for reading a
+//! response.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -25,12 +26,22 @@
     head_since: Cell<Option<Instant>>,
     /// Counts the incomplete head.
     head: RefCell<Option<count_guard::CountGuard>>,
-    /// When the last response was handed over, or the connection was opened.
+    /// Since when the connection has taken no byte of a response that is to be written.
+    blocked_since: Cell<Option<Instant>>,
+    /// When the last response was written, or the connection was opened.
     idle_since: Cell<Instant>,
     /// Whether a request head was ever read.
     is_used: Cell<bool>,
 }
 
+impl ConnectionState {
+    /// Records whether the connection took bytes that were to be written.
+    fn record_write(&self, is_blocked: bool) {
+        let since = self.blocked_since.get().filter(|_| is_blocked);
+        self.blocked_since.set(since.or_else(|| is_blocked.then(Instant::now)));
+    }
+}
+
 /// Tracks the activity of one connection. Clones track the same connection.
 #[derive(Debug, Clone)]
 pub(crate) struct ConnectionWatch {
@@ -42,7 +53,7 @@
 pub(crate) struct Timeouts {
     /// The longest time for a request head.
     pub(crate) head: Duration,
-    /// The longest time without a request.
+    /// The longest time without a request, and without taking a byte of a response.
     pub(crate) idle: Duration,
     /// When a connection without any request is to be closed, once the instance accepts no more connections.
     pub(crate) unused_end: Option<Instant>,
@@ -55,6 +66,8 @@
     Idle,
     /// A request head was not complete in time.
     SlowHead,
+    /// The caller has stopped reading a response.
+    StoppedReading,
     /// The instance is stopping, and the connection had no request.
     Unused,
 }
@@ -87,6 +100,7 @@
             unwritten: RefCell::default(),
             head_since: Cell::new(None),
             head: RefCell::default(),
+            blocked_since: Cell::new(None),
             idle_since: Cell::new(Instant::now()),
             is_used: Cell::new(false),
         };
@@ -115,7 +129,10 @@
     /// Returns the action that `timeouts` require now.
     pub(crate) fn next_action(&self, timeouts: &Timeouts) -> TimeoutAction {
         let (state, now) = (&self.state, Instant::now());
-        if state.busy.get() > 0 {
+        if let Some(since) = state.blocked_since.get() {
+            return TimeoutAction::at(since + timeouts.idle, now, CloseReason::StoppedReading);
+        }
+        if state.busy.get() > 0 || state.unwritten.borrow().is_some() {
             return TimeoutAction::WaitUntil(now + timeouts.idle);
         }
         if let Some(since) = state.head_since.get() {
@@ -147,7 +164,6 @@
         let state = &self.state;
         state.busy.set(state.busy.get() - 1);
         state.unwritten.replace(self.counted.take());
-        state.idle_since.set(Instant::now());
     }
 }
 
@@ -185,7 +201,9 @@
     S: AsyncWrite + Unpin,
 {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.watch.state.record_write(polled.is_pending());
+        polled
     }
 
     /// Flushes. The HTTP library calls this only once its buffer is empty, so that all that was handed over is written
@@ -193,7 +211,9 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = ready!(Pin::new(&mut self.inner).poll_flush(cx));
         let state = &self.watch.state;
-        state.unwritten.replace(None);
+        if state.unwritten.replace(None).is_some() {
+            state.idle_since.set(Instant::now());
+        }
         Poll::Ready(flushed)
     }
 
@@ -206,7 +226,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.watch.state.record_write(polled.is_pending());
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -10,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
-use slog::warn;
+use slog::{info, warn};
 use sycamorestile_core::direct::{declarations, drain};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time;
@@ -25,6 +25,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// The length of the queue of connections to be accepted. Many callers connect at once after a restart.
 const BACKLOG: u32 = 1_024;
+/// The size of the kernel's buffer for what a caller has not received yet, in bytes. A connection takes more bytes once about
+/// a third of a full buffer was received, which tells a slow caller from one that has stopped reading.
+const SEND_BUFFER_BYTES: usize = 256 << 10;
 /// The smallest buffer for a request head that hyper accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 
@@ -32,6 +35,8 @@
 pub(crate) fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, error::GatewayError> {
     let bound = TcpSocket::new_v4().and_then(|socket| {
         socket.set_reuseaddr(true)?;
+        // Accepted connections inherit it.
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES as u32)?;
         socket.bind(addr)?;
         socket.listen(BACKLOG)
     });
@@ -141,6 +146,10 @@
                 let _ended = time::timeout(limits.head_timeout, connection).await;
                 return;
             }
+            connection_watch::TimeoutAction::Close(connection_watch::CloseReason::StoppedReading) => {
+                info!(cx.log, "caller stopped reading"; "idle_ms" => limits.idle_timeout.as_millis() as u64);
+                return;
+            }
             connection_watch::TimeoutAction::Close(
                 connection_watch::CloseReason::SlowHead | connection_watch::CloseReason::Unused,
             ) => return,
