Requests that outlast the grace period get their final response before the process ends

Callers saw: a request that is still at work, or not read completely, when the grace period of a stop ends loses its connection with the process. It can't tell whether it has run, and learns it later than necessary.

Cause: nothing happened at the end of the grace period but the end of the process; with it went the knowledge of whether the request had been sent.

A request that no endpoint can have run is refused as leaving, with Retry-After; others end as unknown. Streams under way are aborted, as a broken one is. Found by listing what a stop can cut off: accepted, queued, read, at work, being written.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -78,6 +78,11 @@
         *self.stop_phase.borrow() > drain::StopPhase::Running
     }
 
+    /// Waits until the process is about to be killed, so that what is not complete needs its final response.
+    pub(crate) async fn ending(&self) {
+        self.stop_reaches(drain::StopPhase::Ending).await;
+    }
+
     /// Waits until a stop has reached `phase`.
     pub(crate) async fn stop_reaches(&self, phase: drain::StopPhase) {
         let mut stop_phase = self.stop_phase.clone();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -152,7 +152,11 @@
         return Err(refusal(problem::ProblemKind::BodyTooLarge));
     }
     let mut body_room = reservation::Reservation::new(&cx.request_body_bytes);
-    let body = read_body(body, limit, timeout, &mut body_room).await.map_err(refusal)?;
+    let body = tokio::select! {
+        read = read_body(body, limit, timeout, &mut body_room) => read,
+        () = cx.ending() => Err(problem::ProblemKind::Leaving),
+    };
+    let body = body.map_err(refusal)?;
     let content = request_content::RequestContent {
         organisation: grant.organisation.as_ref().map(|o| o.name.as_ref()),
         method: parts.method.as_str(),
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -49,12 +49,19 @@
         req_cx.detail.clone_from(&problem.detail);
         return request::finish(cx, &req_cx, refuse::response(cx, &problem), problem.kind.slug());
     }
-    wait_for_short_passes(cx, &req_cx.call).await;
+    tokio::select! {
+        () = wait_for_short_passes(cx, &req_cx.call) => {}
+        () = cx.ending() => {}
+    }
     let mut last_event_id = req_cx.call.head.last_event_id.clone();
     // An error response of an endpoint tells the caller more than one of the gateway.
     let mut endpoint_failure = None;
     loop {
-        let result = attempt::run(cx, &mut req_cx, last_event_id.as_deref()).await;
+        let result = tokio::select! {
+            result = attempt::run(cx, &mut req_cx, last_event_id.as_deref()) => result,
+            // The attempt is withdrawn, and its caller told whether an endpoint may have run it.
+            () = cx.ending() => Err(problem::ProblemKind::Leaving),
+        };
         match result {
             Ok(attempt::AttemptResult::Response(response)) => {
                 return request::finish(cx, &req_cx, *response, "answered");
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -221,7 +221,9 @@
         }
         attempts::FailureOutcome::Unknown => problem::ProblemKind::AnswerLost,
     };
-    let problem = if kind.is_transient() {
+    let problem = if kind == problem::ProblemKind::Leaving {
+        refuse::problem(cx, kind)
+    } else if kind.is_transient() {
         refuse::with_wait(cx, kind, req_cx.last_failure, retry_wait(cx, req_cx))
     } else {
         problem::Problem::new(kind, req_cx.last_failure)
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -109,6 +109,8 @@
     CallerDisconnected,
     /// The caller's deadline or the route's timeout was reached.
     DeadlineExceeded,
+    /// The instance is about to be killed.
+    InstanceEnds,
 }
 
 /// The task that forwards one stream, and resumes it at another endpoint if it breaks off.
@@ -140,6 +142,10 @@
                     self.abort().await;
                     break "time is up";
                 }
+                StreamEnd::InstanceEnds => {
+                    self.abort().await;
+                    break "instance stopped";
+                }
                 StreamEnd::Broken(why) | StreamEnd::Failed(why) => {
                     let endpoint = Arc::clone(&stream.slot.endpoint);
                     let written_for = stream.written_for();
@@ -181,6 +187,8 @@
         let service = &endpoint.service;
         let mut last_event_at = boot_clock::now();
         let mut is_under_way = false;
+        let cx = Rc::clone(&self.cx);
+        let mut ending = std::pin::pin!(cx.ending());
         loop {
             if self.is_on_slow_rank(&endpoint) {
                 return StreamEnd::Failed("rank became slow");
@@ -192,6 +200,7 @@
             let next = tokio::select! {
                 next = time::timeout(STALL_CHECK_INTERVAL.min(remaining), stream.body.frame()) => next,
                 () = self.tx.closed() => return StreamEnd::CallerDisconnected,
+                () = ending.as_mut() => return StreamEnd::InstanceEnds,
             };
             let frame = match next {
                 Ok(Some(Ok(frame))) => frame,
