Requests that arrived while a gateway was suspended are read before their connections count as idle

Callers saw (in a test, by SIGSTOP): after a pause longer than idleTimeoutMs, every request that had been sent meanwhile on a kept connection is lost with its connection, unread.

Cause: on waking, the timeout of the connection had expired and was judged before the bytes that wait in its socket were read. The wait for events returns without any when a process is continued, so that polling the connection first doesn't suffice.

Change: when a timeout has expired, the connection is polled once more after a turn of the runtime. The suspended boot clock of the users' platform doesn't count for timeouts, but a process that gets no processor time sees the same.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -121,6 +121,7 @@
     let mut stop_phase = cx.stop_phase.clone();
     let mut unused_end = None;
     let mut is_shut_down = false;
+    let mut is_rechecked = false;
     loop {
         let phase = *stop_phase.borrow_and_update();
         if phase >= drain::StopPhase::Finishing {
@@ -139,7 +140,17 @@
             unused_end,
         };
         let deadline = match watch.next_action(&timeouts) {
-            connection_watch::TimeoutAction::WaitUntil(at) => at,
+            connection_watch::TimeoutAction::WaitUntil(at) => {
+                is_rechecked = false;
+                at
+            }
+            // The timeout may have expired while the process was suspended. What has arrived meanwhile is read first, which
+            // takes a turn of the runtime.
+            connection_watch::TimeoutAction::Close(_) if !is_rechecked => {
+                is_rechecked = true;
+                tokio::task::yield_now().await;
+                time::Instant::now()
+            }
             connection_watch::TimeoutAction::Close(connection_watch::CloseReason::Idle) => {
                 connection.as_mut().graceful_shutdown();
                 // No request is in flight on an idle connection, so this completes immediately.
