Entries and agents account for what callers are owed as gateways do

Callers saw (in tests before a raw server): with an entry or an agent that stops, a request whose head has begun is cut off 0.3 s after the listener closes, on a new connection as on a kept one, and a response that is read slowly ends after the drain's timeout (2 s at an entry, 5 s at an agent; 3.9 of 33.5 MB in the test).

A connection with a part of a head counts as idle, and a stop waits for a fixed time for what is being written.

Change: the account of a connection moves from the gateway into a crate of its own (connection), with the loop that serves one: heads, requests until their last byte is written, idling, callers that stop reading, phases of a stop. A server that drains waits for requests as long as their callers read, and for connections without a request for its timeout as before.

heads_that_began_before_a_stop_are_served and responses_that_are_still_being_written_are_completed_by_a_stop failed before.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
+use sycamorestile_connection::owed_counts;
 use sycamorestile_core::direct::{
     broken_responses, crash_record, drain, outage, pacing, placement, restrictions, retry_share,
 };
@@ -17,7 +18,6 @@
 
 use crate::header_adapter;
 use crate::metrics;
-use crate::owed_counts;
 use crate::pool;
 use crate::service_map;
 use crate::settings;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::info;
+use sycamorestile_connection::watch;
 use sycamorestile_core::direct::{crash_evidence, request_content};
 use sycamorestile_core::problem;
 use sycamorestile_core::time::Time;
@@ -16,7 +17,6 @@
 use tokio::time;
 
 use crate::call;
-use crate::connection_watch;
 use crate::context;
 use crate::header_adapter;
 use crate::monitoring;
@@ -42,10 +42,10 @@
 /// Responds to a caller's request.
 pub(crate) async fn handle(
     cx: Rc<context::GatewayContext>,
-    watch: connection_watch::ConnectionWatch,
+    connection: watch::ConnectionWatch,
     req: Request<Incoming>,
 ) -> Response<response_body::ResponseBody> {
-    let guard = watch.request_started();
+    let guard = connection.request_started();
     let mut response = respond(&cx, req).await;
     if cx.is_draining() {
         // The connection closes after this response, since the next request is better sent elsewhere.
@@ -57,10 +57,10 @@
 /// Responds to a request to the monitoring address.
 pub(crate) async fn handle_monitoring(
     cx: Rc<context::GatewayContext>,
-    watch: connection_watch::ConnectionWatch,
+    connection: watch::ConnectionWatch,
     req: Request<Incoming>,
 ) -> Response<response_body::ResponseBody> {
-    let _busy = watch.request_started();
+    let _busy = connection.request_started();
     monitoring::respond(&cx, &req)
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,10 +32,8 @@
 
 mod attempt;
 mod call;
-mod connection_watch;
 mod context;
 mod control;
-mod count_guard;
 mod crash_watch;
 mod endpoint_facts;
 mod error;
@@ -44,7 +42,6 @@
 pub mod header_adapter;
 mod metrics;
 mod monitoring;
-mod owed_counts;
 mod own_rows;
 mod peer_link;
 mod peers;
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -5,11 +5,10 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
+use sycamorestile_connection::watch;
 use thiserror::Error;
 use tokio::sync::mpsc;
 
-use crate::connection_watch;
-
 /// The error that ends a streamed response early. It makes hyper close the connection without the end of the body, so
 /// that the caller sees that the response is incomplete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -28,7 +27,7 @@
 pub(crate) struct ResponseBody {
     source: BodySource,
     /// Dropped together with the body, when the response is handed over to the HTTP library.
-    guard: Option<connection_watch::RequestGuard>,
+    guard: Option<watch::RequestGuard>,
 }
 
 impl ResponseBody {
@@ -49,7 +48,7 @@
     }
 
     /// Keeps the request in progress until the body is dropped.
-    pub(crate) fn with_guard(mut self, guard: connection_watch::RequestGuard) -> Self {
+    pub(crate) fn with_guard(mut self, guard: watch::RequestGuard) -> Self {
         self.guard = Some(guard);
         self
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,6 +7,7 @@
 
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info, warn};
+use sycamorestile_connection::owed_counts;
 use sycamorestile_core::direct::{drain, outage, pacing, placement, restrictions, retry_share};
 use sycamorestile_core::time::Time;
 use sycamorestile_table::{adapter, boot_clock};
@@ -24,7 +25,6 @@
 use crate::handle;
 use crate::header_adapter;
 use crate::metrics;
-use crate::owed_counts;
 use crate::peers;
 use crate::pool;
 use crate::server;
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -1,37 +1,41 @@
 //! HTTP server loop shared by calls, attempts, health pages and stand-ins.
 
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use sycamorestile_connection::{owed_counts, serve, timeouts, watch as connection_watch};
+use sycamorestile_core::direct::drain;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
 use tokio::time;
 
 use crate::error;
+use crate::guarded_body;
 use crate::request_body;
 
 /// Body of a response.
 pub type Body = BoxBody<Bytes, Infallible>;
 
-/// Time within which a request head must be received.
+/// Time within which a request head must be received, and longest time without a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time within which a request body must be received.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time within which a connection that was accepted before a stop must send its request.
-const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+/// Interval at which a server that stops checks what its callers are owed.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Delay after a failed accept, which usually means that the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Value of the `Connection` header of the last response on a connection.
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
 /// Maximum size of a request head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
@@ -39,8 +43,8 @@
 #[derive(Debug)]
 pub struct Server {
     addr: SocketAddr,
-    stop: watch::Sender<bool>,
-    connections: Arc<AtomicUsize>,
+    stop: watch::Sender<drain::StopPhase>,
+    owed: owed_counts::OwedCounts,
 }
 
 impl Server {
@@ -49,22 +53,22 @@
     /// # Errors
     ///
     /// Returns [`error::StartError::Bind`] if the address cannot be bound.
+    #[expect(
+        clippy::unused_async,
+        reason = "needs a runtime, which the caller of an async function has"
+    )]
     pub async fn start<F, R>(what: &'static str, addr: SocketAddr, handler: F) -> Result<Self, error::StartError>
     where
         F: Fn(Request<request_body::RequestBody>) -> R + Clone + Send + Sync + 'static,
         R: Future<Output = Response<Body>> + Send + 'static,
     {
         let bind = |source| error::StartError::Bind { what, addr, source };
-        let listener = TcpListener::bind(addr).await.map_err(bind)?;
+        let listener = listen(addr).map_err(bind)?;
         let addr = listener.local_addr().map_err(bind)?;
-        let (stop, stopped) = watch::channel(false);
-        let connections = Arc::new(AtomicUsize::new(0));
-        tokio::spawn(accept(listener, handler, stopped, Arc::clone(&connections)));
-        Ok(Self {
-            addr,
-            stop,
-            connections,
-        })
+        let (stop, stop_phase) = watch::channel(drain::StopPhase::Running);
+        let owed = owed_counts::OwedCounts::default();
+        tokio::spawn(accept(listener, handler, stop_phase, owed.clone()));
+        Ok(Self { addr, stop, owed })
     }
 
     /// Returns the bound address.
@@ -72,45 +76,69 @@
         self.addr
     }
 
-    /// Stops accepting connections, lets each open connection finish its request and waits up to `timeout` until all
-    /// are closed.
+    /// Stops accepting connections, completes what has begun on the open ones and waits until all are closed.
+    ///
+    /// Connections without a request in progress are waited for up to `timeout`. Requests are waited for as long as their
+    /// callers read the responses.
     pub async fn drain(&self, timeout: Duration) {
-        self.stop.send_replace(true);
-        let closed = async {
-            while self.connections.load(Ordering::Acquire) > 0 {
-                time::sleep(Duration::from_millis(10)).await;
+        self.stop.send_replace(drain::StopPhase::Finishing);
+        let end = time::Instant::now() + timeout;
+        loop {
+            let owed = self.owed.owed();
+            if owed.connections == 0 || (owed.requests == 0 && time::Instant::now() >= end) {
+                return;
             }
-        };
-        // A connection that is still open after the timeout has no request in flight.
-        let _closed_in_time = time::timeout(timeout, closed).await;
+            time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
+}
+
+impl Drop for Server {
+    /// Connections end like those of a drained server.
+    fn drop(&mut self) {
+        self.stop.send_replace(drain::StopPhase::Finishing);
     }
 }
 
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if addr.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it.
+    socket.set_send_buffer_size(serve::SEND_BUFFER_BYTES)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
 async fn accept<F, R>(
     listener: TcpListener,
     handler: F,
-    mut stopped: watch::Receiver<bool>,
-    connections: Arc<AtomicUsize>,
+    mut stop_phase: serve::StopPhase,
+    owed: owed_counts::OwedCounts,
 ) where
     F: Fn(Request<request_body::RequestBody>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
-    let in_connections = stopped.clone();
-    let serve = |stream| {
-        connections.fetch_add(1, Ordering::AcqRel);
-        let (handler, stopped, open) = (handler.clone(), in_connections.clone(), Arc::clone(&connections));
-        tokio::spawn(async move {
-            serve_connection(stream, handler, stopped).await;
-            open.fetch_sub(1, Ordering::AcqRel);
-        });
+    let of_connections = stop_phase.clone();
+    let spawn = |stream| {
+        let connection = connection_watch::ConnectionWatch::new(owed.clone());
+        tokio::spawn(serve_connection(
+            stream,
+            connection,
+            handler.clone(),
+            of_connections.clone(),
+        ));
     };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.changed() => break,
+            _ = stop_phase.changed() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(stream),
+            Ok((stream, _)) => spawn(stream),
             Err(_) => time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
@@ -121,43 +149,37 @@
         streams.filter_map(|s| TcpStream::from_std(s).ok()).collect::<Vec<_>>()
     });
     // A listener that can't be converted has failed, so that nothing waits on it.
-    waiting.unwrap_or_default().into_iter().for_each(serve);
+    waiting.unwrap_or_default().into_iter().for_each(spawn);
 }
 
-async fn serve_connection<F, R>(stream: TcpStream, handler: F, mut stopped: watch::Receiver<bool>)
-where
+async fn serve_connection<F, R>(
+    stream: TcpStream,
+    connection: connection_watch::ConnectionWatch,
+    handler: F,
+    stop_phase: serve::StopPhase,
+) where
     F: Fn(Request<request_body::RequestBody>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
-    // Avoids delaying small frames until earlier ones are acknowledged. A failure only costs latency.
-    let _nodelay = stream.set_nodelay(true);
-    let requested = Arc::new(Notify::new());
-    let first_request = Arc::clone(&requested);
+    let (handler_watch, handler_phase) = (connection.clone(), stop_phase.clone());
     let service = service::service_fn(move |req: Request<Incoming>| {
-        requested.notify_one();
+        let guard = handler_watch.request_started();
         let response = handler(req.map(request_body::RequestBody::new));
-        async move { Ok::<_, Infallible>(response.await) }
+        let phase = handler_phase.clone();
+        async move {
+            let mut response = response.await;
+            if *phase.borrow() > drain::StopPhase::Running {
+                response.headers_mut().insert(header::CONNECTION, CLOSE);
+            }
+            Ok::<_, Infallible>(response.map(|body| guarded_body::GuardedBody::new(body, guard)))
+        }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // An error of the connection is not reported here, since each call has its own outcome.
-        _ended = connection.as_mut() => return,
-        _ = stopped.wait_for(|stop| *stop) => {}
-    }
-    // A connection without any request yet must not be shut down as idle: its request may be on the way. A permit of an
-    // earlier request ends the wait at once.
-    tokio::select! {
-        _ended = connection.as_mut() => return,
-        () = first_request.notified() => {}
-        () = time::sleep(LAST_REQUEST_TIMEOUT) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ended = connection.await;
+    let timeouts = || timeouts::Timeouts {
+        head: HEAD_TIMEOUT,
+        idle: HEAD_TIMEOUT,
+    };
+    // An end by a timeout is not reported here, since each call has its own outcome.
+    let _closed = serve::serve(stream, connection, MAX_HEAD_BYTES, service, timeouts, stop_phase).await;
 }
 
 /// Error of reading a request body.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod entry;
 mod entry_links;
 pub mod error;
+mod guarded_body;
 pub mod health;
 pub mod http_client;
 pub mod http_server;
--- a/crates/node/tests/http_server.rs
+++ b/crates/node/tests/http_server.rs
@@ -11,6 +11,9 @@
 /// Largest body that the handler accepts, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 10;
 
+/// Length of a response that the socket buffers do not hold, in bytes.
+const LARGE_RESPONSE_BYTES: usize = 32 << 20;
+
 /// Starts a server that answers 413 to larger bodies, and 200 to others.
 fn start(runtime: &Runtime) -> Server {
     let handler = |req: http::Request<RequestBody>| async move {
@@ -80,3 +83,69 @@
     }
     assert!(TcpStream::connect(server.addr()).is_err(), "the listener is closed");
 }
+
+/// Guards against connections that are closed as idle although a request head has begun on them.
+#[test]
+fn heads_that_began_before_a_stop_are_served() {
+    let runtime = Runtime::new().expect("a runtime is created");
+    let server = start(&runtime);
+    let mut new = connect(server.addr());
+    let mut kept = connect(server.addr());
+    kept.write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        .expect("the connection is open");
+    let mut first = [0; 1024];
+    let len = kept.read(&mut first).expect("a response");
+    assert!(first[..len].starts_with(b"HTTP/1.1 200"));
+    let streams = [&mut new, &mut kept];
+    runtime.block_on(async {
+        for stream in &streams {
+            let mut stream: &TcpStream = stream;
+            stream.write_all(b"GET / HT").expect("the connection is open");
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let draining = server.drain(Duration::from_secs(2));
+        let sending = async {
+            tokio::time::sleep(Duration::from_millis(600)).await;
+            for stream in &streams {
+                let mut stream: &TcpStream = stream;
+                // A connection that is closed shows by its missing response.
+                let _sent = stream.write_all(b"TP/1.1\r\nHost: a\r\n\r\n");
+            }
+        };
+        tokio::join!(draining, sending);
+    });
+    drop(runtime);
+    for stream in streams {
+        let response = read_all(stream);
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+    }
+}
+
+/// Guards against responses that are cut off since a stop waits for a fixed time until slow callers have read them.
+#[test]
+fn responses_that_are_still_being_written_are_completed_by_a_stop() {
+    let runtime = Runtime::new().expect("a runtime is created");
+    let body = "x".repeat(LARGE_RESPONSE_BYTES);
+    let handler = move |_: http::Request<RequestBody>| {
+        let response = full_response(200, "text/plain", body.clone());
+        async move { response }
+    };
+    let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+    let started = runtime.block_on(Server::start("test", addr, handler));
+    let server = started.expect("the server starts");
+    let mut stream = connect(server.addr());
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        .expect("the connection is open");
+    let reader = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_secs(2));
+        read_all(&mut stream).len()
+    });
+    runtime.block_on(async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        server.drain(Duration::from_secs(1)).await;
+    });
+    drop(runtime);
+    let len = reader.join().expect("the reader finishes");
+    assert!(len > LARGE_RESPONSE_BYTES, "{len} bytes");
+}
