A draining entry completes the calls of operators

Operators saw: with an entry that stops, a change that is being written to the platform ends in a transport error. Whether it was applied has to be asked at another entry.

Cause: the server for operators was left out of the drain, and ended with the process. Found by listing what a stop can cut off.

Change: it accepts no more connections and completes its calls, for 10 s at most, while the last callers are served.

a_terminated_entry_reports_the_outcome_of_a_change_that_is_being_written failed before ("the call to the entry failed (Unknown): transport error").

--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -50,8 +50,10 @@
 use crate::metrics;
 use crate::settings::entry_settings;
 
-/// Maximum time for which a draining entry waits until idle connections are closed.
+/// Maximum time for which a draining entry waits until connections without a request are closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum time for which a draining entry waits until operators have the outcomes of their calls.
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which a draining entry keeps refusing calls, so that the platform's load balancer sees that the entry is
 /// not ready before the address closes.
 const DRAIN_LINGER: Duration = Duration::from_secs(1);
@@ -64,7 +66,7 @@
     cx: Arc<EntryContext>,
     callers: http_server::Server,
     metrics: http_server::Server,
-    operators: SocketAddr,
+    operators: operator::OperatorServer,
     control: SocketAddr,
 }
 
@@ -108,7 +110,7 @@
         let callers = server::start(settings.callers, Arc::clone(&cx)).await?;
         let operators = operator::start(settings.operators, Arc::clone(&cx)).await?;
         let metrics = health::start(settings.metrics, ready, metrics).await?;
-        info!(cx.log, "entry started"; "callers" => %callers.addr(), "operators" => %operators, "control" => %control);
+        info!(cx.log, "entry started"; "callers" => %callers.addr(), "operators" => %operators.addr(), "control" => %control);
         Ok(Self {
             cx,
             callers,
@@ -125,7 +127,7 @@
 
     /// Returns the address of the operator server.
     pub fn operators(&self) -> SocketAddr {
-        self.operators
+        self.operators.addr()
     }
 
     /// Returns the address of the control server.
@@ -161,8 +163,8 @@
             .count()
     }
 
-    /// Drains the entry: reports not ready, refuses new calls, completes those in flight and returns when all are
-    /// complete.
+    /// Drains the entry: reports not ready, refuses new calls, completes those in flight, also those of operators, and
+    /// returns when all are complete.
     pub async fn drain(&self) {
         info!(self.cx.log, "entry draining"; "in_flight" => self.cx.in_flight.load(Ordering::Acquire));
         self.cx.control.drain();
@@ -170,7 +172,10 @@
         while self.cx.in_flight.load(Ordering::Acquire) > 0 {
             time::sleep(DRAIN_POLL_INTERVAL).await;
         }
-        self.callers.drain(CLOSE_TIMEOUT).await;
+        tokio::join!(
+            self.callers.drain(CLOSE_TIMEOUT),
+            self.operators.drain(OPERATOR_TIMEOUT)
+        );
         info!(self.cx.log, "entry stopped");
     }
 }
--- a/crates/node/src/entry/operator.rs
+++ b/crates/node/src/entry/operator.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use slog::warn;
 use sycamorestile_core::config::change;
 use sycamorestile_core::config::declaration;
 use sycamorestile_core::config::transaction;
@@ -14,6 +15,7 @@
 use sycamorestile_operator_api::v1;
 use sycamorestile_operator_api::v1::operator_server::{self, Operator};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status};
@@ -31,12 +33,39 @@
     cx: Arc<context::EntryContext>,
 }
 
-/// Starts the server and returns its address.
+/// A running server for operators.
+#[derive(Debug)]
+pub(crate) struct OperatorServer {
+    addr: SocketAddr,
+    stop: watch::Sender<bool>,
+    /// Set when all calls are complete after a stop.
+    ended: watch::Receiver<bool>,
+}
+
+impl OperatorServer {
+    /// Returns the bound address.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Accepts no more connections and waits up to `timeout` until all calls are complete.
+    pub(crate) async fn drain(&self, timeout: Duration) {
+        self.stop.send_replace(true);
+        let mut ended = self.ended.clone();
+        // An operator whose call outlasts the timeout asks another entry for the outcome of the change.
+        let _ended_in_time = tokio::time::timeout(timeout, ended.wait_for(|ended| *ended)).await;
+    }
+}
+
+/// Starts the server.
 ///
 /// # Errors
 ///
 /// Returns [`error::StartError::Bind`] if the address cannot be bound.
-pub(crate) async fn start(addr: SocketAddr, cx: Arc<context::EntryContext>) -> Result<SocketAddr, error::StartError> {
+pub(crate) async fn start(
+    addr: SocketAddr,
+    cx: Arc<context::EntryContext>,
+) -> Result<OperatorServer, error::StartError> {
     let bind = |source| error::StartError::Bind {
         what: "operators",
         addr,
@@ -44,10 +73,27 @@
     };
     let listener = TcpListener::bind(addr).await.map_err(bind)?;
     let bound = listener.local_addr().map_err(bind)?;
+    let (stop, mut stopped) = watch::channel(false);
+    let (ended_tx, ended) = watch::channel(false);
+    let log = cx.log.clone();
     let service = operator_server::OperatorServer::new(Service { cx });
     let server = tonic::transport::Server::builder().add_service(service);
-    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
-    Ok(bound)
+    let stopping = async move {
+        // A dropped sender means that the entry is gone, which is treated the same.
+        let _stopped = stopped.wait_for(|stop| *stop).await;
+    };
+    tokio::spawn(async move {
+        let serving = server.serve_with_incoming_shutdown(TcpListenerStream::new(listener), stopping);
+        if let Err(e) = serving.await {
+            warn!(log, "the server for operators failed"; "error" => %e);
+        }
+        ended_tx.send_replace(true);
+    });
+    Ok(OperatorServer {
+        addr: bound,
+        stop,
+        ended,
+    })
 }
 
 /// Submits `edits` to the platform and applies the accepted change at this entry.
--- a/tests/all/draining.rs
+++ b/tests/all/draining.rs
@@ -2,7 +2,9 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Duration;
 
+use sycamorestile_standins::fault_proxy;
 use sycamorestile_standins::text;
 
 use crate::support::caller;
@@ -149,3 +151,27 @@
     assert_eq!(streamed.text, text::completion("draining entry", 600));
     assert!(cluster.entries[0].process.wait().success());
 }
+
+/// Guards against changes that an operator submitted and whose outcome is lost with the entry's process.
+#[test]
+fn a_terminated_entry_reports_the_outcome_of_a_change_that_is_being_written() {
+    let mut cluster = cluster::Cluster::start(1);
+    let operators = cluster.entries[0].process.addr("operators");
+    let yaml = "organisations:\n- name: late\n  calls_per_second: 10\n  burst: 20\n";
+    let file = cluster.write_file("late.yaml", yaml);
+    let path = file.to_str().expect("the path is UTF-8").to_owned();
+    // Slow, but within the timeout of a call to the platform.
+    let mode = fault_proxy::Mode::Delay(Duration::from_millis(400));
+    cluster.entries[0].platform_proxy.set_mode(mode);
+    let operator = thread::spawn(move || process::run(&["operator", "--addr", &operators, "declare", &path]));
+    thread::sleep(Duration::from_millis(300));
+    cluster.entries[0].process.terminate();
+    let output = operator.join().expect("the operator's thread finishes");
+    assert!(
+        output.status.success(),
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    );
+    assert!(cluster.entries[0].process.wait().success());
+}
