Daemons handle the stop signals before they accept connections

Callers saw (in a test): a daemon that gets SIGTERM right after it has begun to listen ends at once, with status 143 and everything that it has accepted.

Cause: the handlers were installed after the sockets were bound and the first line was printed. A signal in between has no handler.

Change: entry, agent, standalone and stand-ins install them first, and wait for a signal that has come meanwhile.

--- a/src/commands/agent.rs
+++ b/src/commands/agent.rs
@@ -37,6 +37,7 @@
         .map_err(commands::CommandError::usage)?;
     let logger = options.log.or(log).logger();
     daemon::build_runtime()?.block_on(async {
+        let mut signals = daemon::StopSignals::install()?;
         let started = agent::Agent::start(settings, clock::Clock::start(), logger).await;
         let agent = started.map_err(commands::CommandError::failure)?;
         daemon::print_line(&ReadyLine {
@@ -44,7 +45,7 @@
             control: agent.control(),
             metrics: agent.metrics(),
         })?;
-        daemon::shutdown_signal().await?;
+        signals.wait().await;
         agent.drain().await;
         Ok(())
     })
--- a/src/commands/daemon.rs
+++ b/src/commands/daemon.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use thiserror::Error;
 use tokio::runtime::{Builder, Runtime};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::commands;
 
@@ -34,16 +34,31 @@
     built.map_err(|e| commands::CommandError::failure(DaemonError::Runtime(e)))
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub(crate) async fn shutdown_signal() -> Result<(), commands::CommandError> {
-    let failed = |e| commands::CommandError::failure(DaemonError::Signals(e));
-    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that ask a daemon to stop: SIGTERM and SIGINT.
+///
+/// They are handled from [`StopSignals::install`] on. A daemon installs them before it accepts connections, since a signal
+/// without a handler would cut them off.
+pub(crate) struct StopSignals {
+    term: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    pub(crate) fn install() -> Result<Self, commands::CommandError> {
+        let install = |kind| signal(kind).map_err(|e| commands::CommandError::failure(DaemonError::Signals(e)));
+        Ok(Self {
+            term: install(SignalKind::terminate())?,
+            interrupt: install(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for one of the signals, also for one that came before.
+    pub(crate) async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
 
 /// Prints one JSON line to standard output.
--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -38,6 +38,7 @@
         .map_err(commands::CommandError::usage)?;
     let logger = options.log.or(log).logger();
     daemon::build_runtime()?.block_on(async {
+        let mut signals = daemon::StopSignals::install()?;
         let started = entry::Entry::start(settings, clock::Clock::start(), logger).await;
         let entry = started.map_err(commands::CommandError::failure)?;
         daemon::print_line(&ReadyLine {
@@ -46,7 +47,7 @@
             control: entry.control(),
             metrics: entry.metrics(),
         })?;
-        daemon::shutdown_signal().await?;
+        signals.wait().await;
         entry.drain().await;
         Ok(())
     })
--- a/src/commands/standalone.rs
+++ b/src/commands/standalone.rs
@@ -110,6 +110,7 @@
     settings.seed = options.seed.unwrap_or(settings.seed);
     let logger = options.log.or(log).logger();
     daemon::build_runtime()?.block_on(async {
+        let mut signals = daemon::StopSignals::install()?;
         let deployment = start(&settings, &logger)
             .await
             .map_err(commands::CommandError::failure)?;
@@ -118,7 +119,7 @@
             operators: deployment.entry.operators(),
             metrics: deployment.entry.metrics(),
         })?;
-        daemon::shutdown_signal().await?;
+        signals.wait().await;
         deployment.entry.drain().await;
         future::join_all(deployment.agents.iter().map(agent::Agent::drain)).await;
         Ok(())
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -61,12 +61,13 @@
 
 pub(crate) fn run(options: &Options) -> Result<(), commands::CommandError> {
     daemon::build_runtime()?.block_on(async {
+        let signals = daemon::StopSignals::install()?;
         match options {
             Options::Platform { addr } => {
                 let platform = platform::Platform::start(*addr)
                     .await
                     .map_err(commands::CommandError::failure)?;
-                serve(vec![platform.addr()]).await
+                serve(vec![platform.addr()], signals).await
             }
             Options::Engine {
                 addr,
@@ -83,19 +84,20 @@
                     step_time_per_sequence: Duration::from_micros(*step_per_answer_us),
                 });
                 let engine = started.await.map_err(commands::CommandError::failure)?;
-                serve(engine.addrs()).await
+                serve(engine.addrs(), signals).await
             }
             Options::Ledger { addr, replicas } => {
                 let ledger = ledger::Ledger::start(*addr, *replicas)
                     .await
                     .map_err(commands::CommandError::failure)?;
-                serve(ledger.addrs()).await
+                serve(ledger.addrs(), signals).await
             }
         }
     })
 }
 
-async fn serve(addrs: Vec<SocketAddr>) -> Result<(), commands::CommandError> {
+async fn serve(addrs: Vec<SocketAddr>, mut signals: daemon::StopSignals) -> Result<(), commands::CommandError> {
     daemon::print_line(&ReadyLine { addrs })?;
-    daemon::shutdown_signal().await
+    signals.wait().await;
+    Ok(())
 }
--- a/tests/all/draining.rs
+++ b/tests/all/draining.rs
@@ -175,3 +175,28 @@
     );
     assert!(cluster.entries[0].process.wait().success());
 }
+
+/// Guards against daemons that a stop signal ends abruptly, since it comes while they start.
+#[test]
+fn an_entry_that_is_terminated_while_it_starts_exits_successfully() {
+    let platform = process::Process::start(&["standin", "platform", "--addr", "127.0.0.1:0"]);
+    let dir = tempfile::tempdir().expect("a temporary directory");
+    let file = dir.path().join("entry.yaml");
+    let settings = format!(
+        "role: entry\ninstance: starting\nfailure_domain: {}\ncallers: 127.0.0.1:0\noperators: 127.0.0.1:0\n\
+         control: 127.0.0.1:0\nmetrics: 127.0.0.1:0\nplatform: {}\npeers: []\n",
+        cluster::DOMAIN,
+        platform.addrs()[0]
+    );
+    std::fs::write(&file, settings).expect("the file is written");
+    let path = file.to_str().expect("the path is UTF-8");
+    let start = |_| {
+        // The process is signalled as soon as its first line shows that it accepts connections.
+        let entry = process::Process::start(&["entry", "--settings", path, "--log-level", "error"]);
+        entry.terminate();
+        entry
+    };
+    let mut entries: Vec<process::Process> = (0..20).map(start).collect();
+    let exits: Vec<bool> = entries.iter_mut().map(|entry| entry.wait().success()).collect();
+    assert_eq!(exits, [true; 20]);
+}
