Tell in the log what else was convicted with a quarantined segment, and when it was proved sound

"segment quarantined" named a number of crashes. It now names the moments, the other suspects that explain the same crashes (partners) and how long ago an answer proved the segment sound; "segment released" names the latter. Nothing is decided by it yet.

--- a/crates/core/src/direct/crash.rs
+++ b/crates/core/src/direct/crash.rs
@@ -22,6 +22,11 @@
 }
 
 impl Crash {
+    /// Returns whether `suspect` may have caused the crash.
+    pub(super) fn has_suspect(&self, suspect: &Arc<str>) -> bool {
+        self.suspects.binary_search(suspect).is_ok()
+    }
+
     /// Returns the organisation whose request had `suspect`.
     pub(super) fn owner_of(&self, suspect: &Arc<str>) -> Option<owner::Owner> {
         let at = self.suspects.binary_search(suspect).ok()?;
--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -182,6 +182,11 @@
         (quarantine.decided_at + MEMORY).since(shifted(now))
     }
 
+    /// Returns how long ago an answer last proved `suspect` sound, as far as this instance knows.
+    pub fn proof_age(&self, suspect: &Arc<str>, now: time::Time) -> Option<Duration> {
+        self.last_proof(suspect).map(|at| shifted(now).since(at))
+    }
+
     /// Returns all quarantined segments, sorted.
     pub fn quarantines(&self) -> &[quarantine::Quarantine] {
         &self.quarantined
@@ -204,7 +209,7 @@
             let mut unproved = crash.suspects.iter().filter(|s| self.last_proof(s).is_none());
             unproved.any(|s| {
                 let mut others = self.crashes.iter().filter(|c| is_before(c, crash));
-                others.any(|c| c.suspects.binary_search(s).is_ok())
+                others.any(|c| c.has_suspect(s))
             })
         };
         let mut endpoints: Vec<Arc<str>> = self
@@ -403,8 +408,11 @@
         let quarantine = quarantine::Quarantine {
             suspect: Arc::clone(&verdict.suspect),
             crashes: verdict.crashes,
+            moments: 0,
+            partners: Vec::new(),
             owner: verdict.owner,
             endpoints: verdict.endpoints.iter().take(MAX_ENDPOINTS).cloned().collect(),
+            last_crash_at: decided_at,
             decided_at,
         };
         self.verdicts.insert(quarantine, MEMORY, now)
@@ -455,7 +463,7 @@
         });
         let Some(index) = victim else { return };
         let crash = self.crashes.swap_remove(index);
-        let explaining = |q: &&quarantine::Quarantine| crash.suspects.binary_search(&q.suspect).is_ok();
+        let explaining = |q: &&quarantine::Quarantine| crash.has_suspect(&q.suspect);
         let quarantines: Vec<_> = self.quarantined.iter().filter(explaining).cloned().collect();
         for quarantine in quarantines {
             self.verdicts.insert(quarantine, MEMORY, now);
@@ -464,7 +472,7 @@
 
     /// Returns whether a quarantined suspect explains `crash`.
     fn is_explained(&self, crash: &crash::Crash) -> bool {
-        self.quarantined.iter().any(|q| crash.suspects.contains(&q.suspect))
+        self.quarantined.iter().any(|q| crash.has_suspect(&q.suspect))
     }
 
     /// Ends the kept quarantines that have lasted for [`MEMORY`], that an answer has refuted, or whose crashes something else
@@ -502,23 +510,41 @@
             };
             let guilty: Vec<&crash_tally::Tally> =
                 tallies.iter().filter(is_guilty).filter(|t| rank(t) == worst).collect();
-            quarantined.extend(guilty.iter().map(|t| {
-                let crashes = unexplained.iter().filter(|c| c.suspects.contains(&t.segment));
-                quarantine::Quarantine {
-                    suspect: Arc::clone(&t.segment),
-                    crashes: t.crashes,
-                    owner: crashes.clone().find_map(|c| c.owner_of(&t.segment)).unwrap_or_default(),
-                    endpoints: crashes.take(MAX_ENDPOINTS).map(|c| Arc::clone(&c.endpoint)).collect(),
-                    decided_at: self.last_decisive(t).unwrap_or_default(),
-                }
-            }));
-            unexplained.retain(|c| !guilty.iter().any(|t| c.suspects.contains(&t.segment)));
+            quarantined.extend(guilty.iter().map(|t| self.convict(t, &guilty, &unexplained)));
+            unexplained.retain(|c| !guilty.iter().any(|t| c.has_suspect(&t.segment)));
         }
         quarantined.sort_by(|a, b| a.suspect.cmp(&b.suspect));
         quarantined.dedup_by(|a, b| a.suspect == b.suspect);
         self.quarantined = quarantined;
     }
 
+    /// Returns the quarantine of a suspect that is among the `guilty` ones of `crashes`, which are sorted by time.
+    fn convict(
+        &self,
+        tally: &crash_tally::Tally,
+        guilty: &[&crash_tally::Tally],
+        crashes: &[&crash::Crash],
+    ) -> quarantine::Quarantine {
+        let suspect = &tally.segment;
+        let own = crashes.iter().filter(|c| c.has_suspect(suspect));
+        let is_partner = |other: &Arc<str>| other != suspect && own.clone().any(|c| c.has_suspect(other));
+        let partners = guilty.iter().map(|t| &t.segment).filter(|s| is_partner(s));
+        quarantine::Quarantine {
+            suspect: Arc::clone(suspect),
+            crashes: tally.crashes,
+            moments: tally.moments.len(),
+            partners: partners.take(MAX_SUSPECTS).cloned().collect(),
+            owner: own.clone().find_map(|c| c.owner_of(suspect)).unwrap_or_default(),
+            endpoints: own
+                .clone()
+                .take(MAX_ENDPOINTS)
+                .map(|c| Arc::clone(&c.endpoint))
+                .collect(),
+            last_crash_at: own.map(|c| c.at).max().unwrap_or_default(),
+            decided_at: self.last_decisive(tally).unwrap_or_default(),
+        }
+    }
+
     /// Returns the quarantine that `crash` decides alone, since no other request may have caused it and requests of the
     /// same organisation crash many endpoints.
     fn decided_alone(&self, crash: &crash::Crash) -> Option<quarantine::Quarantine> {
@@ -530,8 +556,11 @@
         is_decisive.then(|| quarantine::Quarantine {
             suspect: Arc::clone(suspect),
             crashes: 1,
+            moments: 1,
+            partners: Vec::new(),
             owner: *owner,
             endpoints: vec![Arc::clone(&crash.endpoint)],
+            last_crash_at: crash.at,
             decided_at: crash.at,
         })
     }
@@ -610,5 +639,5 @@
 }
 
 fn is_suspected(crashes: &[crash::Crash], segment: &Arc<str>) -> bool {
-    crashes.iter().any(|c| c.suspects.binary_search(segment).is_ok())
+    crashes.iter().any(|c| c.has_suspect(segment))
 }
--- a/crates/core/src/direct/quarantine.rs
+++ b/crates/core/src/direct/quarantine.rs
@@ -12,10 +12,17 @@
     pub suspect: Arc<str>,
     /// Number of crashes that it explains.
     pub crashes: usize,
+    /// Number of moments with such crashes.
+    pub moments: usize,
+    /// Other suspects that explain the same crashes as well and are quarantined with it, sorted. One of them may be the only
+    /// one to blame.
+    pub partners: Vec<Arc<str>>,
     /// The organisation whose request was seen first.
     pub(super) owner: owner::Owner,
     /// Some of the endpoints that crashed.
     pub(super) endpoints: Vec<Arc<str>>,
+    /// The time of the last crash that it explains, on the clock of the evidence.
+    pub(super) last_crash_at: time::Time,
     /// The time of the last crash without which there would be no quarantine, on the clock of the evidence.
     pub(super) decided_at: time::Time,
 }
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -146,7 +146,7 @@
     let result = change(&mut crashes);
     for (suspect, (former, dropped_before)) in crash_record::Suspect::ALL.into_iter().zip(before) {
         let evidence = crashes.evidence(suspect);
-        report_changes(cx, suspect, &former, evidence.quarantines());
+        report_changes(cx, suspect, &former, evidence);
         let dropped = evidence.dropped_quarantines() - dropped_before;
         if dropped > 0 {
             warn!(cx.log, "no room for all quarantines of {}s", name(suspect); "dropped" => dropped);
@@ -161,8 +161,10 @@
     cx: &context::GatewayContext,
     suspect: crash_record::Suspect,
     before: &[quarantine::Quarantine],
-    after: &[quarantine::Quarantine],
+    evidence: &crash_evidence::CrashEvidence,
 ) {
+    let (after, now) = (evidence.quarantines(), boot_clock::now());
+    let proof_age = |q: &quarantine::Quarantine| evidence.proof_age(&q.suspect, now).map(|age| age.as_millis() as u64);
     let is_in = |list: &[quarantine::Quarantine], q: &quarantine::Quarantine| {
         list.binary_search_by(|known| known.suspect.cmp(&q.suspect)).is_ok()
     };
@@ -172,10 +174,13 @@
     };
     for quarantine in after.iter().filter(|q| !is_in(before, q)) {
         warn!(cx.log, "{} quarantined", name(suspect);
-            log_key => quarantine.suspect.as_ref(), "crashes" => quarantine.crashes);
+            log_key => quarantine.suspect.as_ref(), "crashes" => quarantine.crashes,
+            "moments" => quarantine.moments, "partners" => quarantine.partners.join(","),
+            "proved_ms_ago" => proof_age(quarantine));
     }
     for quarantine in before.iter().filter(|q| !is_in(after, q)) {
-        info!(cx.log, "{} released", name(suspect); log_key => quarantine.suspect.as_ref());
+        info!(cx.log, "{} released", name(suspect);
+            log_key => quarantine.suspect.as_ref(), "proved_ms_ago" => proof_age(quarantine));
     }
     match suspect {
         crash_record::Suspect::Request => cx.metrics.set_quarantined_requests(after.len()),
