Sound segments are not quarantined for good with a crashing one

Cause: a segment is cleared only by an answer that was written for a second, and the new processes have seen none. A group ends all its answers when it loses a rank, so that none is written for so long between two crashes. What all requests have in common explains the crashes then as well as the crashing segment does, and both are convicted; the common one even first, by sound requests that waited at the crashed rank. Once convicted nothing with it is sent, so that nothing can clear it: the wrong verdict keeps itself alive. Evidence: "segment quarantined" says moments 2, no proof, partners; the group's other ranks had begun five sound requests before the first crash.

Ruled out: facts of the processes before the restart (both moments lie after it).

Change, in two parts that each cover what the other can't: - An answer that broke off or went silent proves its segments sound if at least three arrivals of events and a second lie between its beginning and that, and its endpoint accepts connections: the process went on after it had begun to write. The second is measured by a clock that stands still while the instance is suspended. - A quarantined segment is tested (core::direct::trials): a request that lacks one of those which explain the crashes as well is let through, one at a time, by instances that take turns. A crash tells them apart, an answer clears it. Two crashes that tell something end that, and so does the seventh moment, so that at most three follow the fifth crash. What explains crashes alone is tested once, a minute later, or at once by an instance in its first 15 s. A test whose response is lost counts as a crash. Callers that are refused for a segment with partners are told to come back in seconds instead of minutes.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::{crash, crash_facts, crash_tally, merged, owner, proofs, quarantine, verdicts};
+use crate::direct::{crash, crash_facts, crash_tally, merged, owner, proofs, quarantine, trials, verdicts};
 use crate::time;
 
 /// Time for which an answer must have been written to prove that its segments are sound. An endpoint crashes within a
@@ -31,6 +31,10 @@
 /// The same for a segment that was proved sound before the crashes, or that most endpoints which crashed at the same
 /// moments did not have.
 const MIN_WEAK_MOMENTS: usize = 4;
+/// Number of crashes that tell a suspect apart from its partners, at which it is tested no more.
+const MAX_TELLING_CRASHES: usize = 2;
+/// Number of moments from which a suspect with partners is tested no more, so that at most three crashes follow the fifth.
+const MAX_TESTED_MOMENTS: usize = 7;
 /// Period within which crashes belong to one moment. They may have one cause and are not independent evidence.
 const MOMENT: Duration = Duration::from_millis(500);
 /// Age at which crashes and proofs are forgotten. A quarantine ends by this.
@@ -56,6 +60,8 @@
 const MAX_ROW_VERDICT_BYTES: usize = 19 << 10;
 /// Upper bound of the number of quarantines of others for which a refutation is told.
 const MAX_REFUTED: usize = 8;
+/// Number of events of an answer that show that its endpoint went on after it had begun to write.
+const MIN_SURVIVED_EVENTS: usize = 3;
 /// Upper bound of the number of endpoints kept for each quarantine.
 const MAX_ENDPOINTS: usize = 2;
 
@@ -107,6 +113,13 @@
     is_complete || written_for >= SOUND_ANSWER_TIME
 }
 
+/// Returns whether an answer of `events` events that broke off at an endpoint which lives proves that its segments are
+/// sound. `held_for` is the time from the first event until its connection was closed, during which the group of the endpoint
+/// may have stood still.
+pub fn has_survived(events: usize, held_for: Duration) -> bool {
+    events >= MIN_SURVIVED_EVENTS && held_for >= SOUND_ANSWER_TIME
+}
+
 /// Returns whether a response that broke off is evidence of a crash under its request. An idle connection may have broken
 /// before the request was sent, which shows within a round trip.
 pub fn is_decisive(is_fresh_connection: bool, waited: Duration) -> bool {
@@ -171,10 +184,15 @@
         is_news
     }
 
-    /// Returns the quarantined segment among `segments`.
+    /// Returns the first quarantined segment among `segments`.
     pub fn quarantined(&self, segments: &[Arc<str>]) -> Option<&quarantine::Quarantine> {
+        self.quarantined_among(segments).next()
+    }
+
+    /// Returns all quarantined segments among `segments`.
+    pub(super) fn quarantined_among(&self, segments: &[Arc<str>]) -> impl Iterator<Item = &quarantine::Quarantine> {
         let found = |s: &Arc<str>| self.quarantined.binary_search_by(|q| q.suspect.cmp(s)).ok();
-        segments.iter().find_map(found).map(|at| &self.quarantined[at])
+        segments.iter().filter_map(found).map(|at| &self.quarantined[at])
     }
 
     /// Returns how long `quarantine` lasts.
@@ -182,6 +200,11 @@
         (quarantine.decided_at + MEMORY).since(shifted(now))
     }
 
+    /// Returns whether no answer has proved all `segments` sound.
+    pub fn has_unproved(&self, segments: &[Arc<str>]) -> bool {
+        segments.iter().any(|s| self.last_proof(s).is_none())
+    }
+
     /// Returns how long ago an answer last proved `suspect` sound, as far as this instance knows.
     pub fn proof_age(&self, suspect: &Arc<str>, now: time::Time) -> Option<Duration> {
         self.last_proof(suspect).map(|at| shifted(now).since(at))
@@ -410,6 +433,7 @@
             crashes: verdict.crashes,
             moments: 0,
             partners: Vec::new(),
+            terms: None,
             owner: verdict.owner,
             endpoints: verdict.endpoints.iter().take(MAX_ENDPOINTS).cloned().collect(),
             last_crash_at: decided_at,
@@ -529,22 +553,52 @@
         let own = crashes.iter().filter(|c| c.has_suspect(suspect));
         let is_partner = |other: &Arc<str>| other != suspect && own.clone().any(|c| c.has_suspect(other));
         let partners = guilty.iter().map(|t| &t.segment).filter(|s| is_partner(s));
+        let partners: Vec<Arc<str>> = partners.take(MAX_SUSPECTS).cloned().collect();
+        let last_crash_at = own.clone().map(|c| c.at).max().unwrap_or_default();
         quarantine::Quarantine {
             suspect: Arc::clone(suspect),
             crashes: tally.crashes,
             moments: tally.moments.len(),
-            partners: partners.take(MAX_SUSPECTS).cloned().collect(),
+            terms: self.terms(tally, &partners, own.clone().copied(), last_crash_at),
+            partners,
             owner: own.clone().find_map(|c| c.owner_of(suspect)).unwrap_or_default(),
             endpoints: own
                 .clone()
                 .take(MAX_ENDPOINTS)
                 .map(|c| Arc::clone(&c.endpoint))
                 .collect(),
-            last_crash_at: own.map(|c| c.at).max().unwrap_or_default(),
+            last_crash_at,
             decided_at: self.last_decisive(tally).unwrap_or_default(),
         }
     }
 
+    /// Returns which requests may test a suspect with these `partners`, that explains `crashes`.
+    fn terms<'a, I>(
+        &self,
+        tally: &crash_tally::Tally,
+        partners: &[Arc<str>],
+        crashes: I,
+        last_crash_at: time::Time,
+    ) -> Option<trials::Terms>
+    where
+        I: Iterator<Item = &'a crash::Crash>,
+    {
+        if !partners.is_empty() {
+            let telling = crashes.filter(|c| partners.iter().any(|p| !c.has_suspect(p))).count();
+            let is_open = telling < MAX_TELLING_CRASHES && tally.moments.len() < MAX_TESTED_MOMENTS;
+            return is_open.then(|| trials::Terms::with_partners(partners.to_vec(), last_crash_at));
+        }
+        let min_moments = self.min_moments(&tally.segment);
+        let is_open = tally.blamed_at.len() <= min_moments && tally.moments.len() <= min_moments.max(MIN_WEAK_MOMENTS);
+        let is_rival = |s: &&Arc<str>| **s != tally.segment && self.last_proof(s).is_none();
+        // The contents of requests seldom come again, so that those beside the suspect tell nothing.
+        let rivals = crashes
+            .flat_map(|c| &c.suspects)
+            .filter(is_rival)
+            .filter(|_| !self.counts_each_crash);
+        is_open.then(|| trials::Terms::alone(rivals.cloned().collect(), last_crash_at))
+    }
+
     /// Returns the quarantine that `crash` decides alone, since no other request may have caused it and requests of the
     /// same organisation crash many endpoints.
     fn decided_alone(&self, crash: &crash::Crash) -> Option<quarantine::Quarantine> {
@@ -558,6 +612,7 @@
             crashes: 1,
             moments: 1,
             partners: Vec::new(),
+            terms: None,
             owner: *owner,
             endpoints: vec![Arc::clone(&crash.endpoint)],
             last_crash_at: crash.at,
@@ -634,7 +689,7 @@
 }
 
 /// Returns `now` on a clock that was at [`MEMORY`] at the origin, so that events from before the origin have a time.
-fn shifted(now: time::Time) -> time::Time {
+pub(super) fn shifted(now: time::Time) -> time::Time {
     now + MEMORY
 }
 
--- a/crates/core/src/direct/crash_record.rs
+++ b/crates/core/src/direct/crash_record.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::{crash_evidence, crash_facts, merged, owner, quarantine};
+use crate::direct::{crash_evidence, crash_facts, merged, owner, quarantine, trials};
 use crate::time;
 
 /// What a crash is blamed on.
@@ -73,11 +73,31 @@
     }
 }
 
+/// What to do with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// Nothing of it is quarantined.
+    Admitted,
+    /// It is sent to test this quarantined suspect, until [`CrashRecord::end_trial`].
+    Trial(Arc<str>),
+    /// It is refused.
+    Refused {
+        /// What is quarantined.
+        suspect: Suspect,
+        /// Its quarantine.
+        quarantine: quarantine::Quarantine,
+        /// When to come back.
+        wait: Duration,
+    },
+}
+
 /// All evidence of crashes that an instance has.
 #[derive(Debug, Clone)]
 pub struct CrashRecord {
     segments: crash_evidence::CrashEvidence,
     requests: crash_evidence::CrashEvidence,
+    /// The suspects that requests of this instance test now.
+    trials: Vec<Arc<str>>,
 }
 
 impl Default for CrashRecord {
@@ -85,6 +105,7 @@
         Self {
             segments: crash_evidence::CrashEvidence::default(),
             requests: crash_evidence::CrashEvidence::of_requests(),
+            trials: Vec::new(),
         }
     }
 }
@@ -131,6 +152,63 @@
         })
     }
 
+    /// Decides whether a request with `suspects` is sent, and whether that is a trial.
+    pub fn admit(&mut self, suspects: &Suspects<'_>, instances: &trials::Instances<'_>, now: time::Time) -> Admission {
+        let Some((suspect, quarantine)) = self.quarantined(suspects) else {
+            return Admission::Admitted;
+        };
+        let terms = self.trial_terms(suspects);
+        let clock = crash_evidence::shifted(now);
+        let since = terms
+            .iter()
+            .map(|(_, t)| t.since(instances))
+            .max()
+            .filter(|since| *since <= clock);
+        let tested = terms.first().zip(since).filter(|((tested, _), since)| {
+            let is_tested = self.trials.contains(tested);
+            !is_tested && instances.has_turn(tested, *since, clock)
+        });
+        if let Some(((tested, _), _)) = tested {
+            let tested = Arc::clone(tested);
+            self.trials.push(Arc::clone(&tested));
+            return Admission::Trial(tested);
+        }
+        let remaining = crash_evidence::CrashEvidence::remaining(quarantine, now);
+        let waits = terms.iter().filter_map(|(_, t)| t.wait(clock));
+        Admission::Refused {
+            suspect,
+            quarantine: quarantine.clone(),
+            wait: waits.max().unwrap_or(remaining),
+        }
+    }
+
+    /// Returns what a request with `suspects` would test, and on which terms; nothing if it may test nothing.
+    fn trial_terms(&self, suspects: &Suspects<'_>) -> Vec<(Arc<str>, trials::Terms)> {
+        let terms_of = |suspect| {
+            let identifiers = suspects.identifiers(suspect);
+            let quarantines = self.evidence(suspect).quarantined_among(identifiers);
+            let allowed = |q: &quarantine::Quarantine| q.terms.clone().filter(|t| t.allow(identifiers));
+            quarantines.map(move |q| Some((Arc::clone(&q.suspect), allowed(q)?)))
+        };
+        let by_suspect = Suspect::ALL.map(|suspect| terms_of(suspect).collect::<Option<Vec<_>>>());
+        let [Some(segments), Some(requests)] = by_suspect else {
+            return Vec::new();
+        };
+        let is_suspicious = !requests.is_empty() && self.requests.is_suspicious(suspects.owner);
+        let terms = [segments, requests].concat();
+        let is_test_of_one = terms.len() == 1 || terms.iter().all(|(_, t)| t.has_partners());
+        if is_suspicious || !is_test_of_one {
+            Vec::new()
+        } else {
+            terms
+        }
+    }
+
+    /// Ends the trial of `suspect` by a request of this instance.
+    pub fn end_trial(&mut self, suspect: &Arc<str>) {
+        self.trials.retain(|t| t != suspect);
+    }
+
     /// Returns whether a request with `suspects`, whose endpoint has crashed, may be sent to another one. One without
     /// suspected segments is sent once more, which shows whether it is to blame, unless those of its organisation crash
     /// many endpoints.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -49,5 +49,6 @@
 pub mod route_table;
 pub mod sharer_count;
 pub mod table_clock;
+pub mod trials;
 mod verdicts;
 pub mod withdrawals;
--- a/crates/core/src/direct/quarantine.rs
+++ b/crates/core/src/direct/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::direct::owner;
+use crate::direct::{owner, trials};
 use crate::time;
 
 /// A quarantined suspect.
@@ -17,6 +17,8 @@
     /// Other suspects that explain the same crashes as well and are quarantined with it, sorted. One of them may be the only
     /// one to blame.
     pub partners: Vec<Arc<str>>,
+    /// Which requests may test the suspect, unless enough have.
+    pub(super) terms: Option<trials::Terms>,
     /// The organisation whose request was seen first.
     pub(super) owner: owner::Owner,
     /// Some of the endpoints that crashed.
--- a/crates/core/src/direct/verdicts.rs
+++ b/crates/core/src/direct/verdicts.rs
@@ -67,7 +67,9 @@
             }
         }
         let at = self.kept.partition_point(|v| v.suspect < verdict.suspect);
-        self.kept.insert(at, verdict);
+        // Without its crashes, nothing tells when enough requests have tested the suspect.
+        let untested = quarantine::Quarantine { terms: None, ..verdict };
+        self.kept.insert(at, untested);
         true
     }
 
--- a/crates/core/tests/direct_crash_evidence.rs
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -8,8 +8,9 @@
 use rstest::rstest;
 use sycamorestile_core::direct::crash_evidence::{CrashEvidence, bounded_segments, is_decisive, is_proof};
 use sycamorestile_core::direct::crash_facts::CrashFacts;
-use sycamorestile_core::direct::crash_record::{CrashRecord, Suspect, Suspects};
+use sycamorestile_core::direct::crash_record::{Admission, CrashRecord, Suspect, Suspects};
 use sycamorestile_core::direct::owner::Owner;
+use sycamorestile_core::direct::trials::Instances;
 use sycamorestile_core::time::Time;
 
 /// Returns a time shortly after the clock's origin, as on a machine that has just been booted.
@@ -229,7 +230,7 @@
 /// Plays the day of `seed` and checks that crashing requests are stopped, and that at most one of `refused` sound ones is
 /// refused.
 fn assert_stopped(seed: u64, cause: crash_days::Cause, other_crashes_ms: u64, refused: usize) {
-    let outcome = crash_days::play(seed, cause, crash_days::Exchange::Datagrams, other_crashes_ms);
+    let outcome = crash_days::play(crash_days::Plan::new(seed, cause, other_crashes_ms));
     assert!(outcome.crashes >= 2, "seed {seed}: {outcome:?}");
     assert!(outcome.late_crashing_requests <= 3, "seed {seed}: {outcome:?}");
     assert!(
@@ -268,8 +269,7 @@
 ) {
     // No other crash, which could be the second one under the new segment.
     let other_crashes_ms = u64::MAX;
-    let exchange = crash_days::Exchange::Datagrams;
-    let outcome = crash_days::play(seed, crash_days::Cause::Prompt, exchange, other_crashes_ms);
+    let outcome = crash_days::play(crash_days::Plan::new(seed, crash_days::Cause::Prompt, other_crashes_ms));
     assert_eq!(outcome.new_segment_refused, 0, "seed {seed}: {outcome:?}");
 }
 
@@ -309,7 +309,11 @@
     #[values(crash_days::Cause::Segment, crash_days::Cause::Request, crash_days::Cause::Prompt)]
     cause: crash_days::Cause,
 ) {
-    let is_broken = |seed| crash_days::play(seed, cause, crash_days::Exchange::None, 7_000).late_crashing_requests > 3;
+    let plan = |seed| crash_days::Plan {
+        exchange: crash_days::Exchange::None,
+        ..crash_days::Plan::new(seed, cause, 7_000)
+    };
+    let is_broken = |seed| crash_days::play(plan(seed)).late_crashing_requests > 3;
     assert!((1..=20).any(is_broken));
 }
 
@@ -385,3 +389,191 @@
 ) {
     assert_eq!(is_decisive(is_fresh, Duration::from_millis(waited_ms)), expected);
 }
+
+/// Returns a day on which all requests share their first segment, and `restarted` instances restart when the first crashing
+/// request arrives.
+fn day_after_restart(seed: u64, is_group: bool, restarted: usize, other_crashes_ms: u64) -> crash_days::Plan {
+    crash_days::Plan {
+        is_group,
+        shares_first: true,
+        restarted,
+        ..crash_days::Plan::new(seed, crash_days::Cause::Segment, other_crashes_ms)
+    }
+}
+
+// Guards against a verdict on all that a crashing request has in common with sound ones, as long as nothing has proved that
+// sound.
+#[rstest]
+fn first_segment_of_all_requests_is_not_convicted_with_a_crashing_one(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
+    #[values(true, false)] is_group: bool,
+    #[values(0, 1, 4, 8)] restarted: usize,
+    #[values(u64::MAX, 7_000)] other_crashes_ms: u64,
+) {
+    let outcome = crash_days::play(day_after_restart(seed, is_group, restarted, other_crashes_ms));
+    assert!(outcome.late_crashing_requests <= 3, "{outcome:?}");
+    assert!(2 * outcome.sound_refused <= outcome.sound_sent, "{outcome:?}");
+    assert!(outcome.sound_sent > 100, "{outcome:?}");
+}
+
+/// Returns how many sound requests are refused on days after a restart of all instances with `fault`, and on how many days
+/// most of them are.
+fn refused_after_restart(fault: crash_days::Fault) -> (usize, usize) {
+    let outcomes = (1..=20).map(|seed| {
+        let plan = crash_days::Plan {
+            fault,
+            ..day_after_restart(seed, true, 8, 7_000)
+        };
+        let outcome = crash_days::play(plan);
+        let is_lost = 2 * outcome.sound_refused > outcome.sound_sent;
+        (outcome.sound_refused, usize::from(is_lost))
+    });
+    outcomes.fold((0, 0), |sum, o| (sum.0 + o.0, sum.1 + o.1))
+}
+
+// Shows that the days find instances without tests, or that also ignore survivals, and what survivals are worth.
+#[test]
+fn the_days_show_instances_that_convict_sound_segments_for_good() {
+    let (refused, lost) = refused_after_restart(crash_days::Fault::None);
+    assert_eq!(lost, 0);
+    assert!(refused_after_restart(crash_days::Fault::TestsNothing).1 > 0);
+    assert!(refused_after_restart(crash_days::Fault::ConvictsForGood).1 > 10);
+    assert!(refused_after_restart(crash_days::Fault::IgnoresSurvivals).0 > 4 * refused);
+}
+
+/// Requests of one gateway among eight, which may have its turn or not.
+struct Requests {
+    record: CrashRecord,
+    peers: Vec<Arc<str>>,
+}
+
+impl Requests {
+    fn new() -> Self {
+        Self {
+            record: CrashRecord::default(),
+            peers: Vec::new(),
+        }
+    }
+
+    fn admit(&mut self, names: &[&str], ms: u64) -> Admission {
+        let instances = Instances {
+            own: "front-0",
+            peers: &self.peers,
+            started: at(0),
+        };
+        let suspects = Suspects {
+            segments: &segments(names),
+            content: &Arc::from(format!("once-{ms}")),
+            owner: Owner::default(),
+        };
+        self.record.admit(&suspects, &instances, at(ms))
+    }
+
+    fn crash(&mut self, endpoint: &str, names: &[&str], ms: u64) {
+        let suspects = Suspects {
+            segments: &segments(names),
+            content: &Arc::from(format!("once-{ms}")),
+            owner: Owner::default(),
+        };
+        self.record.record_crash(&Arc::from(endpoint), &suspects, at(ms));
+    }
+
+    fn is_admitted(&mut self, names: &[&str], ms: u64) -> bool {
+        self.admit(names, ms) == Admission::Admitted
+    }
+
+    /// Returns the suspect that a request tests.
+    fn tested(&mut self, names: &[&str], ms: u64) -> Option<Arc<str>> {
+        match self.admit(names, ms) {
+            Admission::Trial(tested) => Some(tested),
+            Admission::Admitted | Admission::Refused { .. } => None,
+        }
+    }
+}
+
+// Guards against a quarantine that nothing can end, since nothing is sent that could show that its segment is sound.
+#[test]
+fn segments_that_explain_the_same_crashes_are_tested_apart() {
+    let mut requests = Requests::new();
+    requests.crash("m-1", &["first", "bad"], 1_000);
+    requests.crash("m-2", &["first", "bad"], 5_000);
+    assert!(requests.tested(&["first", "a"], 5_500).is_none(), "too soon");
+    assert!(
+        requests.tested(&["first", "bad"], 6_100).is_none(),
+        "tells nothing apart"
+    );
+    let tested = requests.tested(&["first", "a"], 6_100).expect("a test");
+    assert_eq!(&*tested, "first");
+    assert!(requests.tested(&["first", "b"], 6_200).is_none(), "one at a time");
+    requests.record.record_proof(
+        &Suspects {
+            segments: &segments(&["first", "a"]),
+            content: &Arc::from("tested"),
+            owner: Owner::default(),
+        },
+        at(7_200),
+    );
+    requests.record.end_trial(&tested);
+    assert!(requests.is_admitted(&["first", "b"], 7_300));
+    assert!(!requests.is_admitted(&["first", "bad"], 7_300));
+}
+
+// Guards against tests that go on although they show that a segment crashes endpoints.
+#[test]
+fn segment_that_crashes_the_endpoint_of_its_test_is_convicted_alone() {
+    let mut requests = Requests::new();
+    requests.crash("m-1", &["bad", "a"], 20_000);
+    requests.crash("m-2", &["bad", "a"], 24_000);
+    let tested = requests.tested(&["bad", "b"], 26_000).expect("a test");
+    requests.crash("m-3", &["bad", "b"], 26_100);
+    requests.record.end_trial(&tested);
+    assert!(requests.is_admitted(&["a"], 26_200), "the other one is released");
+    for ms in (26_200..600_000).step_by(500) {
+        assert!(requests.tested(&["bad", "c"], ms).is_none(), "after {ms} ms");
+    }
+}
+
+// Guards against a sound segment that is locked out for ten minutes since endpoints crashed under it for another reason.
+#[test]
+fn segment_that_explains_crashes_alone_is_tested_once_a_minute_later() {
+    let mut requests = Requests::new();
+    requests.crash("m-1", &["a"], 20_000);
+    requests.crash("m-2", &["a"], 24_000);
+    assert!(requests.tested(&["a"], 83_000).is_none());
+    let tested = requests.tested(&["a"], 84_500).expect("a test");
+    requests.crash("m-3", &["a"], 84_600);
+    requests.record.end_trial(&tested);
+    assert!(
+        (84_700..600_000)
+            .step_by(500)
+            .all(|ms| requests.tested(&["a"], ms).is_none())
+    );
+}
+
+// Guards against an instance that has just started and convicts a segment that others had in only one of the crashes each.
+#[test]
+fn new_instance_tests_a_segment_beside_rivals_soon() {
+    let mut requests = Requests::new();
+    requests.crash("m-1", &["first", "bad"], 2_000);
+    requests.crash("m-2", &["first", "a"], 6_000);
+    assert!(
+        requests.tested(&["first", "bad"], 7_500).is_none(),
+        "a rival may be to blame"
+    );
+    assert_eq!(requests.tested(&["first", "c"], 7_500).as_deref(), Some("first"));
+}
+
+// Guards against instances that all test a segment at the same time.
+#[test]
+fn instances_test_in_turn() {
+    let mut requests = Requests::new();
+    requests.peers = (1..8).map(|n| Arc::from(format!("front-{n}"))).collect();
+    requests.crash("m-1", &["first", "bad"], 1_000);
+    requests.crash("m-2", &["first", "bad"], 5_000);
+    let has_turn = |requests: &mut Requests, turn: u64| {
+        let tested = requests.tested(&["first", "a"], 6_500 + turn * 2_000);
+        tested.inspect(|t| requests.record.end_trial(t)).is_some()
+    };
+    let turns = (0..200).filter(|turn| has_turn(&mut requests, *turn)).count();
+    assert!((10..50).contains(&turns), "{turns} of 200 turns of eight instances");
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -162,7 +162,9 @@
     if !grant.route.targets.iter().any(|t| t.service == endpoint.service) {
         return Ok(failed(req_cx.attempts.not_sent(), "route moved to another service"));
     }
-    if let Some(kind) = crash_watch::quarantine_problem_kind(cx, &req_cx.call) {
+    if req_cx.test.is_none()
+        && let Some(kind) = crash_watch::quarantine_problem_kind(cx, &req_cx.call)
+    {
         return Err(kind);
     }
     send_request(cx, req_cx, lease, slot, &grant, last_event_id).await
@@ -210,7 +212,9 @@
             let next = req_cx.attempts.lost();
             let is_fresh = lease.idle_time != pool::IdleTime::Long;
             if crash_evidence::is_decisive(is_fresh, boot_clock::now().since(now)) {
-                req_cx.examine_broken_response(cx, &slot.endpoint, Duration::ZERO).await;
+                req_cx
+                    .examine_broken_response(cx, &slot.endpoint, crash_watch::Progress::default())
+                    .await;
             } else {
                 req_cx.needs_fresh_connection = true;
             }
@@ -357,13 +361,17 @@
             let Some(bytes) = read_body(cx, req_cx, body).await else {
                 cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
                 let next = req_cx.attempts.lost();
-                req_cx.examine_broken_response(cx, &slot.endpoint, Duration::ZERO).await;
+                req_cx
+                    .examine_broken_response(cx, &slot.endpoint, crash_watch::Progress::default())
+                    .await;
                 return Ok(failed(next, "answer broke off"));
             };
             if ends_with_connection && pool::Pool::refuses_connections(&slot.endpoint).await {
                 cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
                 let next = req_cx.attempts.lost();
-                req_cx.examine_broken_response(cx, &slot.endpoint, Duration::ZERO).await;
+                req_cx
+                    .examine_broken_response(cx, &slot.endpoint, crash_watch::Progress::default())
+                    .await;
                 return Ok(failed(next, "endpoint crashed"));
             }
             release_connection(lease, &parts.headers, &head);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -28,6 +28,8 @@
 /// A `RefCell` is never borrowed across an await, so borrows can't collide.
 pub(crate) struct GatewayContext {
     pub(crate) settings: settings::Settings,
+    /// When the process started.
+    pub(crate) started: time::Time,
     pub(crate) header_adapter: header_adapter::HeaderAdapter,
     pub(crate) snapshots: watch::Receiver<Arc<snapshot::Snapshot>>,
     /// When the write of this gateway's row in the table began that succeeded last.
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -1,10 +1,11 @@
 //! Detects crashes of endpoints from broken responses, and refuses requests that are quarantined for them.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{info, warn};
-use sycamorestile_core::direct::{broken_responses, crash_evidence, crash_record, endpoint, quarantine};
+use sycamorestile_core::direct::{broken_responses, crash_evidence, crash_record, endpoint, quarantine, trials};
 use sycamorestile_core::{problem, time};
 use sycamorestile_table::boot_clock;
 
@@ -13,21 +14,35 @@
 use crate::pool;
 use crate::refuse;
 
+/// How much of a response had arrived when it broke off.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Progress {
+    /// The number of events.
+    pub(crate) events: usize,
+    /// The time from the first to the last event.
+    pub(crate) written_for: Duration,
+    /// The time from the first event until the connection was closed. It is measured by a clock that stops while the instance
+    /// is suspended, since a connection that broke in that time would seem to have lasted.
+    pub(crate) held_for: Duration,
+}
+
 /// Checks whether the response of `endpoint` to `call` broke off because the endpoint crashed, and records the crash.
 /// Returns whether it did, as far as can be told now.
-///
-/// `written_for` is the time for which the endpoint had been writing the response.
 pub(crate) async fn examine_broken_response(
     cx: &context::GatewayContext,
     call: &call::Call,
     endpoint: &Arc<endpoint::Endpoint>,
-    written_for: Duration,
+    progress: Progress,
 ) -> bool {
-    if crash_evidence::is_proof(written_for, false) {
+    if crash_evidence::is_proof(progress.written_for, false) {
         return false;
     }
     match pool::Pool::probe(endpoint).await {
         pool::Reachability::Refuses => {}
+        pool::Reachability::Accepts if crash_evidence::has_survived(progress.events, progress.held_for) => {
+            record_survival(cx, &call.suspects(), endpoint, progress);
+            return false;
+        }
         pool::Reachability::Accepts => {
             cx.broken_responses
                 .borrow_mut()
@@ -40,14 +55,58 @@
         }
         pool::Reachability::Unreachable => return false,
     }
-    let is_news = record_crash(cx, endpoint, &call.suspects(), boot_clock::now());
+    let is_news = record_crash(cx, &endpoint.id, &call.suspects(), boot_clock::now());
     info!(cx.log, "endpoint crashed at the beginning of a response";
         "request" => call.id(), "endpoint" => endpoint.id.as_ref(), "segments" => call.head.shared_segments.join(","),
         "content" => call.content.as_ref(),
-        "written_ms" => written_for.as_millis() as u64, "news" => is_news);
+        "written_ms" => progress.written_for.as_millis() as u64, "news" => is_news);
     true
 }
 
+/// Checks whether `endpoint` lives although its response to `call` went silent, which proves the segments of `call` sound.
+/// Nothing is asked of an endpoint that can prove nothing new, and the request doesn't wait for the answer.
+pub(crate) fn examine_silent_response(
+    cx: &Rc<context::GatewayContext>,
+    call: &call::Call,
+    endpoint: &Arc<endpoint::Endpoint>,
+    progress: Progress,
+) {
+    let has_unproved = |crashes: &crash_record::CrashRecord| {
+        let evidence = crashes.evidence(crash_record::Suspect::Segment);
+        evidence.has_unproved(&call.head.shared_segments)
+    };
+    if !crash_evidence::has_survived(progress.events, progress.held_for) || !has_unproved(&cx.crashes.borrow()) {
+        return;
+    }
+    let (cx, suspects, endpoint) = (Rc::clone(cx), call.suspects().to_owned(), Arc::clone(endpoint));
+    tokio::task::spawn_local(async move {
+        if pool::Pool::probe(&endpoint).await == pool::Reachability::Accepts {
+            record_survival(&cx, &suspects.as_ref(), &endpoint, progress);
+        }
+    });
+}
+
+/// Records that `endpoint` lives after it had begun to answer a request with `suspects`.
+fn record_survival(
+    cx: &context::GatewayContext,
+    suspects: &crash_record::Suspects<'_>,
+    endpoint: &endpoint::Endpoint,
+    progress: Progress,
+) {
+    info!(cx.log, "endpoint lives after a response that was not completed"; "endpoint" => endpoint.id.as_ref(),
+        "segments" => suspects.segments.join(","), "events" => progress.events,
+        "held_ms" => progress.held_for.as_millis() as u64);
+    update(cx, |crashes| crashes.record_proof(suspects, boot_clock::now()));
+}
+
+/// Records that a test of a quarantined suspect showed no result, since the response of `endpoint` to `call` was lost. That
+/// counts as a crash, so that tests come to an end.
+pub(crate) fn record_lost_test(cx: &context::GatewayContext, call: &call::Call, endpoint: &Arc<str>) {
+    let is_news = record_crash(cx, endpoint, &call.suspects(), boot_clock::now());
+    info!(cx.log, "test of a quarantine showed no result"; "request" => call.id(),
+        "endpoint" => endpoint.as_ref(), "news" => is_news);
+}
+
 /// Records the crashes of endpoints which accepted connections after they broke a response, but whose processes have been
 /// replaced since.
 pub(crate) fn examine_replacements(cx: &context::GatewayContext, now: time::Time) {
@@ -56,7 +115,7 @@
         .borrow_mut()
         .take_crashed(&cx.snapshot().endpoints, now);
     for response in crashed {
-        let is_news = record_crash(cx, &response.endpoint, &response.suspects.as_ref(), response.at);
+        let is_news = record_crash(cx, &response.endpoint.id, &response.suspects.as_ref(), response.at);
         info!(cx.log, "endpoint that broke a response was replaced by a later process";
             "endpoint" => response.endpoint.id.as_ref(), "ago_ms" => now.since(response.at).as_millis() as u64,
             "news" => is_news);
@@ -66,11 +125,11 @@
 /// Records a crash of `endpoint` at the time `at`. Returns whether that is news.
 fn record_crash(
     cx: &context::GatewayContext,
-    endpoint: &endpoint::Endpoint,
+    endpoint: &Arc<str>,
     suspects: &crash_record::Suspects<'_>,
     at: time::Time,
 ) -> bool {
-    let is_news = update(cx, |crashes| crashes.record_crash(&endpoint.id, suspects, at));
+    let is_news = update(cx, |crashes| crashes.record_crash(endpoint, suspects, at));
     if is_news {
         cx.metrics.record_crash();
         cx.fact_news.notify_one();
@@ -83,6 +142,58 @@
     update(cx, |crashes| crashes.record_proof(&call.suspects(), boot_clock::now()));
 }
 
+/// Decides whether `call` is sent, and whether that is a test of a quarantine.
+///
+/// # Errors
+///
+/// Returns the problem to report if it is refused.
+pub(crate) fn admit(cx: &Rc<context::GatewayContext>, call: &call::Call) -> Result<Option<Test>, problem::Problem> {
+    let now = boot_clock::now();
+    let peers = cx.placement.borrow().live_peer_ids(now);
+    let instances = trials::Instances {
+        own: &cx.settings.instance,
+        peers: &peers,
+        started: cx.started,
+    };
+    let admission = cx.crashes.borrow_mut().admit(&call.suspects(), &instances, now);
+    match admission {
+        crash_record::Admission::Admitted => Ok(None),
+        crash_record::Admission::Trial(tested) => {
+            warn!(cx.log, "testing a quarantine"; "request" => call.id(), "suspect" => tested.as_ref());
+            cx.metrics.record_test();
+            Ok(Some(Test {
+                cx: Rc::clone(cx),
+                tested,
+            }))
+        }
+        crash_record::Admission::Refused {
+            suspect,
+            quarantine,
+            wait,
+        } => {
+            let detail = format!(
+                "{} endpoints crashed on {} {}",
+                quarantine.crashes,
+                name(suspect),
+                quarantine.suspect
+            );
+            Err(refuse::with_wait(cx, problem_kind(suspect), detail, wait))
+        }
+    }
+}
+
+/// A request that tests a quarantined suspect, until it ends.
+pub(crate) struct Test {
+    cx: Rc<context::GatewayContext>,
+    tested: Arc<str>,
+}
+
+impl Drop for Test {
+    fn drop(&mut self) {
+        self.cx.crashes.borrow_mut().end_trial(&self.tested);
+    }
+}
+
 /// Returns what `call` is quarantined for.
 fn find_quarantine(
     cx: &context::GatewayContext,
@@ -104,19 +215,6 @@
     find_quarantine(cx, call).map(|(suspect, _)| problem_kind(suspect))
 }
 
-/// Returns the problem to report if the request is quarantined.
-pub(crate) fn quarantine_problem(cx: &context::GatewayContext, call: &call::Call) -> Option<problem::Problem> {
-    let (suspect, quarantine) = find_quarantine(cx, call)?;
-    let remaining = crash_evidence::CrashEvidence::remaining(&quarantine, boot_clock::now());
-    let detail = format!(
-        "{} endpoints crashed on {} {}",
-        quarantine.crashes,
-        name(suspect),
-        quarantine.suspect
-    );
-    Some(refuse::with_wait(cx, problem_kind(suspect), detail, remaining))
-}
-
 /// Returns the name of `suspect` for log messages and problems.
 fn name(suspect: crash_record::Suspect) -> &'static str {
     match suspect {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,7 +10,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 
 /// The largest number of organisations with their own label. All others share [`OTHER_ORGANISATION`].
 const MAX_ORGANISATIONS: usize = 50;
@@ -51,6 +51,7 @@
     quarantined_segments: Gauge,
     quarantined_requests: Gauge,
     dropped_quarantines: Counter,
+    quarantine_tests: Counter,
     withheld_requests: Family<CauseLabels, Counter>,
     pauses: Counter,
     paused_endpoints: Gauge,
@@ -65,106 +66,100 @@
     Histogram::new(SECONDS_BUCKETS)
 }
 
+/// Registers `metric`.
+fn registered<M>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M
+where
+    M: Metric + Clone,
+{
+    registry.register(name, help, metric.clone());
+    metric
+}
+
+/// Registers a new metric.
+fn new<M>(registry: &mut Registry, name: &str, help: &str) -> M
+where
+    M: Metric + Clone + Default,
+{
+    registered(registry, name, help, M::default())
+}
+
 impl Metrics {
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("sycamorestile_gateway");
         let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         let whole = Family::new_with_constructor(histogram as fn() -> Histogram);
-        let outcomes = Family::<OutcomeLabels, Counter>::default();
-        let (repeated_sends, withheld_repeats) = (Counter::default(), Counter::default());
-        let (connects, crashes) = (Counter::default(), Counter::default());
-        let (quarantined_segments, quarantined_requests) = (Gauge::default(), Gauge::default());
-        registry.register(
-            "first_byte_seconds",
-            "Time to the first byte of a response",
-            first_byte.clone(),
-        );
-        registry.register("whole_seconds", "Time to the end of a response", whole.clone());
-        registry.register("requests", "Requests by status and reason", outcomes.clone());
-        registry.register(
-            "repeated_sends",
-            "Requests sent to another endpoint after a failed attempt",
-            repeated_sends.clone(),
-        );
-        registry.register(
-            "withheld_repeats",
-            "Requests not sent to another endpoint because the retry budget was used up",
-            withheld_repeats.clone(),
-        );
-        registry.register("connects", "Connections opened to endpoints", connects.clone());
-        registry.register(
-            "endpoint_crashes",
-            "Reports of endpoints that crashed at the beginning of a response",
-            crashes.clone(),
-        );
-        registry.register(
-            "quarantined_segments",
-            "Prompt segments that are quarantined because endpoints crash on them",
-            quarantined_segments.clone(),
-        );
-        registry.register(
-            "quarantined_requests",
-            "Requests, by their content, that are quarantined because endpoints crash on them",
-            quarantined_requests.clone(),
-        );
-        let dropped_quarantines = Counter::default();
-        registry.register(
-            "dropped_quarantines",
-            "Quarantines that ended early or were not kept for want of room",
-            dropped_quarantines.clone(),
-        );
-        let withheld_requests = Family::<CauseLabels, Counter>::default();
-        registry.register(
-            "withheld_requests",
-            "Requests refused because no endpoint takes requests from this instance, by cause",
-            withheld_requests.clone(),
-        );
-        let (pauses, forgotten_withdrawals) = (Counter::default(), Counter::default());
-        registry.register(
-            "endpoint_pauses",
-            "Pauses that endpoints have asked for",
-            pauses.clone(),
-        );
-        let (paused_endpoints, leaving_endpoints) = (Gauge::default(), Gauge::default());
-        let table_era = Gauge::default();
-        registry.register(
-            "table_era",
-            "How often the platform's table has come back from an older copy, as the table counts it",
-            table_era.clone(),
-        );
-        registry.register(
-            "paused_endpoints",
-            "Endpoints that have asked for a pause that still runs",
-            paused_endpoints.clone(),
-        );
-        registry.register(
-            "leaving_endpoints",
-            "Endpoints that have said that they leave",
-            leaving_endpoints.clone(),
-        );
-        registry.register(
-            "forgotten_withdrawals",
-            "Withdrawals of unlisted endpoints that were forgotten for want of room",
-            forgotten_withdrawals.clone(),
-        );
         Self {
+            first_byte: registered(
+                &mut registry,
+                "first_byte_seconds",
+                "Time to the first byte of a response",
+                first_byte,
+            ),
+            whole: registered(&mut registry, "whole_seconds", "Time to the end of a response", whole),
+            outcomes: new(&mut registry, "requests", "Requests by status and reason"),
+            repeated_sends: new(
+                &mut registry,
+                "repeated_sends",
+                "Requests sent to another endpoint after a failed attempt",
+            ),
+            withheld_repeats: new(
+                &mut registry,
+                "withheld_repeats",
+                "Requests not sent to another endpoint because the retry budget was used up",
+            ),
+            connects: new(&mut registry, "connects", "Connections opened to endpoints"),
+            crashes: new(
+                &mut registry,
+                "endpoint_crashes",
+                "Reports of endpoints that crashed at the beginning of a response",
+            ),
+            quarantined_segments: new(
+                &mut registry,
+                "quarantined_segments",
+                "Prompt segments that are quarantined because endpoints crash on them",
+            ),
+            quarantined_requests: new(
+                &mut registry,
+                "quarantined_requests",
+                "Requests, by their content, that are quarantined because endpoints crash on them",
+            ),
+            quarantine_tests: new(
+                &mut registry,
+                "quarantine_tests",
+                "Requests that were sent to test whether what is quarantined crashes endpoints",
+            ),
+            dropped_quarantines: new(
+                &mut registry,
+                "dropped_quarantines",
+                "Quarantines that ended early or were not kept for want of room",
+            ),
+            withheld_requests: new(
+                &mut registry,
+                "withheld_requests",
+                "Requests refused because no endpoint takes requests from this instance, by cause",
+            ),
+            pauses: new(&mut registry, "endpoint_pauses", "Pauses that endpoints have asked for"),
+            table_era: new(
+                &mut registry,
+                "table_era",
+                "How often the platform's table has come back from an older copy, as the table counts it",
+            ),
+            paused_endpoints: new(
+                &mut registry,
+                "paused_endpoints",
+                "Endpoints that have asked for a pause that still runs",
+            ),
+            leaving_endpoints: new(
+                &mut registry,
+                "leaving_endpoints",
+                "Endpoints that have said that they leave",
+            ),
+            forgotten_withdrawals: new(
+                &mut registry,
+                "forgotten_withdrawals",
+                "Withdrawals of unlisted endpoints that were forgotten for want of room",
+            ),
             registry,
-            first_byte,
-            whole,
-            outcomes,
-            repeated_sends,
-            withheld_repeats,
-            connects,
-            crashes,
-            quarantined_segments,
-            quarantined_requests,
-            dropped_quarantines,
-            withheld_requests,
-            pauses,
-            paused_endpoints,
-            leaving_endpoints,
-            table_era,
-            forgotten_withdrawals,
             organisations: RefCell::default(),
         }
     }
@@ -220,6 +215,11 @@
         self.quarantined_requests.set(count as i64);
     }
 
+    /// Counts a request that tests a quarantine.
+    pub(crate) fn record_test(&self) {
+        self.quarantine_tests.inc();
+    }
+
     /// Counts quarantines that ended early or were not kept for want of room.
     pub(crate) fn record_dropped_quarantines(&self, count: u64) {
         self.dropped_quarantines.inc_by(count);
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -38,6 +38,7 @@
         last_failure: "none",
         needs_fresh_connection: false,
         endpoint_crashed: false,
+        test: None,
         detail: String::new(),
         first_byte_after: None,
         longest_pause: Duration::ZERO,
@@ -45,9 +46,16 @@
         cx: Rc::clone(cx),
         call,
     };
-    if let Some(problem) = crash_watch::quarantine_problem(cx, &req_cx.call).or_else(|| admit(cx, &req_cx.call)) {
-        req_cx.detail.clone_from(&problem.detail);
-        return request::finish(cx, &req_cx, refuse::response(cx, &problem), problem.kind.slug());
+    let admitted = match admit(cx, &req_cx.call) {
+        Some(problem) => Err(problem),
+        None => crash_watch::admit(cx, &req_cx.call),
+    };
+    match admitted {
+        Ok(test) => req_cx.test = test,
+        Err(problem) => {
+            req_cx.detail.clone_from(&problem.detail);
+            return request::finish(cx, &req_cx, refuse::response(cx, &problem), problem.kind.slug());
+        }
     }
     tokio::select! {
         () = wait_for_short_passes(cx, &req_cx.call) => {}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -52,6 +52,8 @@
     pub(crate) needs_fresh_connection: bool,
     /// Whether an endpoint crashed when it had just begun the request.
     pub(crate) endpoint_crashed: bool,
+    /// Present if the request tests a quarantine.
+    pub(crate) test: Option<crash_watch::Test>,
     /// The reason for a refusal before the first attempt.
     pub(crate) detail: String,
     /// The time from the start of the request to the head of a streamed response.
@@ -92,6 +94,7 @@
             "content" => self.call.content.as_ref(),
             "under_way" => endpoint.map(|id| cx.placement.borrow().in_flight(id, now)),
             "ms" => now.since(self.call.started).as_millis() as u64);
+        self.end_test(cx);
     }
 
     /// Records the end of `endpoint` if the response broke off because it crashed. See
@@ -100,9 +103,21 @@
         &mut self,
         cx: &context::GatewayContext,
         endpoint: &Arc<endpoint::Endpoint>,
-        written_for: Duration,
+        progress: crash_watch::Progress,
     ) {
-        self.endpoint_crashed |= crash_watch::examine_broken_response(cx, &self.call, endpoint, written_for).await;
+        self.endpoint_crashed |= crash_watch::examine_broken_response(cx, &self.call, endpoint, progress).await;
+    }
+
+    /// Ends the test of a quarantine if its response was lost.
+    fn end_test(&mut self, cx: &context::GatewayContext) {
+        let is_lost = self.attempts.failure_outcome() == attempts::FailureOutcome::Unknown;
+        let Some(endpoint) = self.tried.last().filter(|_| is_lost) else {
+            return;
+        };
+        let is_quarantined = crash_watch::quarantine_problem_kind(cx, &self.call).is_some();
+        if self.test.take().is_some() && is_quarantined && !self.endpoint_crashed {
+            crash_watch::record_lost_test(cx, &self.call, endpoint);
+        }
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -74,6 +74,7 @@
     let instance = Arc::clone(&settings.instance);
     let cx = Rc::new(context::GatewayContext {
         settings,
+        started,
         header_adapter,
         snapshots: control.snapshots,
         own_row_written: control.own_row_written,
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -66,6 +66,8 @@
         slot,
         ends_with_connection,
         written: None,
+        events: 0,
+        first_event: None,
         is_proved: false,
     }));
     response
@@ -81,14 +83,30 @@
     ends_with_connection: bool,
     /// When the first and the last event arrived.
     written: Option<(Time, Time)>,
+    /// The number of events.
+    events: usize,
+    /// When the first event arrived, by a clock that stops while the instance is suspended.
+    first_event: Option<time::Instant>,
     /// Whether this part has proved the segments of the prompt sound.
     is_proved: bool,
 }
 
 impl EndpointStream {
-    fn record_event(&mut self, now: Time) {
+    /// Records that events arrived. Those that arrive together count as one, since one pass may have written them.
+    fn record_events(&mut self, now: Time) {
         let (first, _) = self.written.unwrap_or((now, now));
         self.written = Some((first, now));
+        self.events += 1;
+        self.first_event.get_or_insert_with(time::Instant::now);
+    }
+
+    /// Returns how much had arrived when the connection was closed, which is now.
+    fn progress(&self) -> crash_watch::Progress {
+        crash_watch::Progress {
+            events: self.events,
+            written_for: self.written_for(),
+            held_for: self.first_event.map_or(Duration::ZERO, |at| at.elapsed()),
+        }
     }
 
     /// Returns the time from the first to the last event.
@@ -101,10 +119,8 @@
 enum StreamEnd {
     /// The endpoint completed the stream.
     Complete,
-    /// The endpoint closed the connection too early.
-    Broken(&'static str),
-    /// The connection stalled, the data is invalid, or the stream should move to another endpoint.
-    Failed(&'static str),
+    /// The stream can only go on at another endpoint.
+    Interrupted(Interruption),
     /// The caller disconnected.
     CallerDisconnected,
     /// The caller's deadline or the route's timeout was reached.
@@ -113,6 +129,16 @@
     InstanceEnds,
 }
 
+/// The reason why a stream can't go on at its endpoint.
+enum Interruption {
+    /// The endpoint closed the connection too early.
+    Broken(&'static str),
+    /// The connection went silent.
+    Silent,
+    /// The endpoint sends no events, the data is invalid, or the stream should move to another endpoint.
+    Failed(&'static str),
+}
+
 /// The task that forwards one stream, and resumes it at another endpoint if it breaks off.
 struct StreamForwarder {
     cx: Rc<context::GatewayContext>,
@@ -146,15 +172,11 @@
                     self.abort().await;
                     break "instance stopped";
                 }
-                StreamEnd::Broken(why) | StreamEnd::Failed(why) => {
+                StreamEnd::Interrupted(interruption) => {
                     let endpoint = Arc::clone(&stream.slot.endpoint);
-                    let written_for = stream.written_for();
+                    let progress = stream.progress();
                     drop(stream);
-                    if matches!(end, StreamEnd::Broken(_)) {
-                        self.req_cx
-                            .examine_broken_response(&self.cx, &endpoint, written_for)
-                            .await;
-                    }
+                    let why = self.examine(interruption, &endpoint, progress).await;
                     self.cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
                     let next = self.req_cx.attempts.lost();
                     self.req_cx.attempt_failed(&self.cx, why, next);
@@ -175,6 +197,26 @@
         request::log_finished(&self.cx, &self.req_cx, 200, reason, took);
     }
 
+    /// Finds out what an `interruption` tells of `endpoint`, and returns its reason.
+    async fn examine(
+        &mut self,
+        interruption: Interruption,
+        endpoint: &Arc<endpoint::Endpoint>,
+        progress: crash_watch::Progress,
+    ) -> &'static str {
+        match interruption {
+            Interruption::Broken(why) => {
+                self.req_cx.examine_broken_response(&self.cx, endpoint, progress).await;
+                why
+            }
+            Interruption::Silent => {
+                crash_watch::examine_silent_response(&self.cx, &self.req_cx.call, endpoint, progress);
+                "stream went silent"
+            }
+            Interruption::Failed(why) => why,
+        }
+    }
+
     /// Closes the caller's connection in a way that shows that the response is incomplete.
     async fn abort(&self) {
         // Sending fails only if the caller has already disconnected.
@@ -191,7 +233,7 @@
         let mut ending = std::pin::pin!(cx.ending());
         loop {
             if self.is_on_slow_rank(&endpoint) {
-                return StreamEnd::Failed("rank became slow");
+                return StreamEnd::Interrupted(Interruption::Failed("rank became slow"));
             }
             let remaining = self.req_cx.call.deadline.since(boot_clock::now());
             if remaining.is_zero() {
@@ -204,28 +246,30 @@
             };
             let frame = match next {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return StreamEnd::Broken("stream broke"),
-                Ok(None) if self.buffer.has_partial() => return StreamEnd::Broken("stream ended within an event"),
+                Ok(Some(Err(_))) => return StreamEnd::Interrupted(Interruption::Broken("stream broke")),
+                Ok(None) if self.buffer.has_partial() => {
+                    return StreamEnd::Interrupted(Interruption::Broken("stream ended within an event"));
+                }
                 Ok(None) if stream.ends_with_connection && pool::Pool::refuses_connections(&endpoint).await => {
-                    return StreamEnd::Broken("endpoint crashed");
+                    return StreamEnd::Interrupted(Interruption::Broken("endpoint crashed"));
                 }
                 Ok(None) => return StreamEnd::Complete,
                 Err(_) => {
                     if self.is_stalled(&endpoint, last_event_at) {
                         self.cx.pool.close_idle(&endpoint.id);
-                        return StreamEnd::Failed("stream went silent");
+                        return StreamEnd::Interrupted(Interruption::Silent);
                     }
                     continue;
                 }
             };
             let Some(data) = frame.data_ref() else { continue };
             let Ok(events) = self.buffer.push(data) else {
-                return StreamEnd::Failed("event too long");
+                return StreamEnd::Interrupted(Interruption::Failed("event too long"));
             };
             if events.is_empty() {
                 // Bytes without a complete event are no progress: a stalled endpoint may still send some.
                 if self.is_stalled(&endpoint, last_event_at) {
-                    return StreamEnd::Failed("stream sends no events");
+                    return StreamEnd::Interrupted(Interruption::Failed("stream sends no events"));
                 }
                 continue;
             }
@@ -237,7 +281,7 @@
                 self.req_cx.longest_pause = self.req_cx.longest_pause.max(pause);
             }
             is_under_way = true;
-            stream.record_event(now);
+            stream.record_events(now);
             if !stream.is_proved && crash_evidence::is_proof(stream.written_for(), false) {
                 stream.is_proved = true;
                 crash_watch::record_proof(&self.cx, &self.req_cx.call);
@@ -302,6 +346,8 @@
                         lease,
                         slot,
                         written: None,
+                        events: 0,
+                        first_event: None,
                         is_proved: false,
                     });
                 }
