A crashing segment isn't left out of a crash for want of room

Callers would see: a segment that crashes endpoints is found later, or never, where many requests had just begun at each endpoint.

Cause: a crash keeps the first sixteen suspects that are reported, in the order of the reports. Sound ones, which answers have proved before, can take all the room. Found by listing what convicts the sound with the guilty, or clears the guilty with the sound.

Change: a suspect that no answer has proved sound takes the room of one that was proved.

unproved_segment_takes_the_room_of_a_proved_one failed before (nothing was quarantined).

--- a/crates/core/src/direct/crash.rs
+++ b/crates/core/src/direct/crash.rs
@@ -27,6 +27,26 @@
         self.suspects.binary_search(suspect).is_ok()
     }
 
+    /// Adds a suspect that the crash doesn't have.
+    pub(super) fn add_suspect(&mut self, suspect: &Arc<str>, owner: owner::Owner) {
+        let at = self.suspects.partition_point(|s| s < suspect);
+        self.suspects.insert(at, Arc::clone(suspect));
+        self.owners.insert(at, owner);
+    }
+
+    /// Removes the first suspect for which `may_go` returns `true`. Returns whether there is one.
+    pub(super) fn remove_suspect<F>(&mut self, may_go: F) -> bool
+    where
+        F: Fn(&Arc<str>) -> bool,
+    {
+        let Some(at) = self.suspects.iter().position(may_go) else {
+            return false;
+        };
+        self.suspects.remove(at);
+        self.owners.remove(at);
+        true
+    }
+
     /// Returns the organisation whose request had `suspect`.
     pub(super) fn owner_of(&self, suspect: &Arc<str>) -> Option<owner::Owner> {
         let at = self.suspects.binary_search(suspect).ok()?;
--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -459,16 +459,21 @@
             });
             self.crashes.len() - 1
         });
+        let (own_proofs, told_proofs) = (&self.own_proofs, &self.told_proofs);
+        let is_proved = |s: &Arc<str>| own_proofs.last(s).max(told_proofs.last(s)).is_some();
         let crash = &mut self.crashes[index];
         crash.at = crash.at.min(at);
         for (segment, owner) in suspects {
-            if let Err(at) = crash.suspects.binary_search(segment)
-                && crash.suspects.len() < MAX_SUSPECTS
-            {
-                crash.suspects.insert(at, Arc::clone(segment));
-                crash.owners.insert(at, owner);
-                is_news = true;
+            if crash.has_suspect(segment) {
+                continue;
             }
+            // One that no answer has proved sound is the more likely cause.
+            let is_full = crash.suspects.len() >= MAX_SUSPECTS;
+            if is_full && (is_proved(segment) || !crash.remove_suspect(is_proved)) {
+                continue;
+            }
+            crash.add_suspect(segment, owner);
+            is_news = true;
         }
         is_news
     }
--- a/crates/core/tests/direct_crash_evidence.rs
+++ b/crates/core/tests/direct_crash_evidence.rs
@@ -577,3 +577,18 @@
     let turns = (0..200).filter(|turn| has_turn(&mut requests, *turn)).count();
     assert!((10..50).contains(&turns), "{turns} of 200 turns of eight instances");
 }
+
+// Guards against a crashing segment that is left out of a crash since there is only room for sound ones.
+#[test]
+fn unproved_segment_takes_the_room_of_a_proved_one() {
+    let mut evidence = CrashEvidence::default();
+    let sound: Vec<String> = (0..16).map(|n| format!("sound-{n:02}")).collect();
+    let sound: Vec<&str> = sound.iter().map(String::as_str).collect();
+    evidence.record_proof(&segments(&sound), at(0));
+    for n in 0..2_u64 {
+        // Sixteen requests that had just begun are reported before the one that crashed the endpoint.
+        crash(&mut evidence, &format!("m-{n}"), &sound, 10_000 + n * 5_000);
+        crash(&mut evidence, &format!("m-{n}"), &["zz-bad"], 10_001 + n * 5_000);
+    }
+    assert_eq!(names(&evidence), ["zz-bad"]);
+}
