The largest numbers of entries and load reports don't stop streams

Callers would see: two entries with the largest number of slots, and every stream is lost with its connection in a test build; in a release build the sum wraps, and streams are refused as if the service were full. The same with the largest load in a response.

Cause: sums of 32 bits over numbers that others choose.

Change: the sums saturate.

--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -146,8 +146,8 @@
             min_load: f64::INFINITY,
         };
         usable.fold(none, |sum, e| ServiceLoad {
-            in_flight: sum.in_flight + self.in_flight(&e.id, now),
-            slots: sum.slots + e.slots,
+            in_flight: sum.in_flight.saturating_add(self.in_flight(&e.id, now)),
+            slots: sum.slots.saturating_add(e.slots),
             min_load: sum.min_load.min(self.load(e, now)),
         })
     }
@@ -241,10 +241,11 @@
         let stats = self.stats(id);
         let own_in_flight = stats.map_or(0, |s| s.own_in_flight);
         let live = self.peers.iter().filter(|p| now.since(p.last_seen) < PEER_MAX_AGE);
-        let peers: u32 = live.map(|p| p.in_flight(id)).sum();
+        let counts = live.map(|p| p.in_flight(id));
         let fresh_report = stats.and_then(|s| s.reported.filter(|(_, at)| now.since(*at) < REPORT_MAX_AGE));
-        let reported = fresh_report.map_or(0, |(load, _)| load.running + load.waiting);
-        (own_in_flight + peers).max(reported)
+        // Numbers of endpoints and peers may be anything.
+        let reported = fresh_report.map_or(0, |(load, _)| load.running.saturating_add(load.waiting));
+        counts.fold(own_in_flight, u32::saturating_add).max(reported)
     }
 
     /// Returns the load of `endpoint` as a share of its slots.
@@ -253,7 +254,7 @@
     /// ranks of a group wait for the slowest one, so a request costs more there even if nothing else runs.
     fn load(&self, endpoint: &endpoint::Endpoint, now: time::Time) -> f64 {
         let slowness = f64::from(endpoint.slowness_percent) / 100.0;
-        let with_request = f64::from(self.in_flight(&endpoint.id, now) + 1) * slowness;
+        let with_request = (f64::from(self.in_flight(&endpoint.id, now)) + 1.0) * slowness;
         (with_request - 1.0) / f64::from(endpoint.slots.max(1))
     }
 
