Extreme rate limits of endpoints have a stated result

Callers would see: an endpoint that names a limit of 1e30 requests a second gets none in a release build (the number of its holders wraps to 0), and in a test build the task that exchanges facts between gateways ends. With the smallest limit, the task of each request that asks for the wait ends, and its connection with it.

Cause: conversions of numbers that others choose.

Change: the number of holders saturates; a wait is at most as long as a limit is remembered.

extreme_limits_have_a_stated_result failed before in all three cases.

--- a/crates/core/src/direct/rate_limit.rs
+++ b/crates/core/src/direct/rate_limit.rs
@@ -56,7 +56,7 @@
         self.updated_at = now;
         let per_second = self.per_second.unwrap_or_default();
         // One holder for each request per second, so that their bursts stay small against the limit.
-        let count = (per_second as usize + 1).min(instances.len());
+        let count = (per_second as usize).saturating_add(1).min(instances.len());
         let holders = rendezvous::choose(self.endpoint.as_bytes(), instances, count);
         self.share = if holders.contains(&own_instance) {
             per_second / count as f64
--- a/crates/core/src/direct/rate_limits.rs
+++ b/crates/core/src/direct/rate_limits.rs
@@ -99,7 +99,9 @@
     pub fn wait(&self, endpoint: &str, now: time::Time) -> Option<Duration> {
         let limit = self.find(endpoint)?;
         let missing = (1.0 - limit.allowance(now)).max(0.0);
-        (limit.share > 0.0).then(|| Duration::from_secs_f64(missing / limit.share))
+        // A limit that is not named again is forgotten by then.
+        let wait = Duration::try_from_secs_f64(missing / limit.share).map_or(MAX_AGE, |wait| wait.min(MAX_AGE));
+        (limit.share > 0.0).then_some(wait)
     }
 
     /// Returns how many observations of this instance itself were news to it.
--- a/crates/core/tests/direct_rate_limits.rs
+++ b/crates/core/tests/direct_rate_limits.rs
@@ -227,3 +227,21 @@
     let is_broken = |seed| play(seed, 8, 2.2, Awareness::None).0 > allowed;
     assert!((1..=10).all(is_broken));
 }
+
+// Guards against arithmetic on limits that no instance can keep count of, which ends the task that does.
+#[rstest]
+#[case::largest(f64::MAX, true)]
+#[case::more_than_instances_can_be_counted(1e30, true)]
+#[case::smallest(f64::MIN_POSITIVE / 4.0, false)]
+fn extreme_limits_have_a_stated_result(#[case] per_second: f64, #[case] is_allowed: bool) {
+    let mut limits = alone();
+    limits.record(&name("m-1"), Some(per_second), at(0));
+    limits.refresh(vec![name("peer-1"), name("peer-2")], at(0));
+    limits.refresh(Vec::new(), at(0));
+    for ms in (1_000..20_000).step_by(500) {
+        limits.spend("m-1", at(ms));
+    }
+    assert_eq!(limits.allows("m-1", at(21_000)), is_allowed);
+    let wait = limits.wait("m-1", at(21_000)).expect("a wait");
+    assert_eq!(wait.is_zero(), is_allowed, "{wait:?}");
+}
