Map agents refuse reports that no sound rank can give

Operators would see: a rank that reports a group of 4,294,967,295 ranks has each agent that coordinates it allocate for so many, and the process ends for want of memory; one that reports the last pass or epoch has the coordinator compute beyond the range of numbers, or wait for ever.

Cause: reports were taken as they came.

Change: a report is checked before it is used, and one that fails is logged like one that can't be read.

--- a/crates/map-agent/src/rank_adapter.rs
+++ b/crates/map-agent/src/rank_adapter.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use sycamorestile_expert_map::held_switch;
 use sycamorestile_table::adapter;
+use thiserror::Error;
 
 /// Membership of a rank in a group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +33,60 @@
     pub started_at_ms: u64,
 }
 
+/// Largest number of ranks of a group.
+const MAX_GROUP_SIZE: u32 = 4_096;
+/// Largest pass, epoch or version, up to which numbers are exact in JSON.
+const MAX_COUNTER: u64 = 1 << 53;
+
+/// The reason why a report can't be that of a sound rank.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum ImplausibleReport {
+    /// A group has no such number of ranks.
+    #[error("a group of {0} ranks")]
+    GroupSize(u32),
+    /// The rank is not one of its group.
+    #[error("rank {rank} of {size}")]
+    Rank {
+        /// Index of the rank.
+        rank: u32,
+        /// Number of ranks in the group.
+        size: u32,
+    },
+    /// A pass, epoch or version is higher than any can be.
+    #[error("the counter {0}")]
+    Counter(u64),
+    /// The slowness is not a positive number.
+    #[error("the slowness is not a positive number")]
+    Slowness,
+}
+
+impl Report {
+    /// Checks that the report can be that of a sound rank. A coordinator allocates and computes by its numbers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first number that can't be.
+    pub fn check(&self) -> Result<(), ImplausibleReport> {
+        if let Some(Membership { rank, size, .. }) = self.membership {
+            if !(1..=MAX_GROUP_SIZE).contains(&size) {
+                return Err(ImplausibleReport::GroupSize(size));
+            }
+            if rank >= size {
+                return Err(ImplausibleReport::Rank { rank, size });
+            }
+        }
+        let view = &self.view;
+        let armed = view.armed.iter().flat_map(|a| [a.version, a.pass]);
+        let counters = [view.epoch, view.pass, view.in_force, view.sequence].into_iter();
+        let mut counters = counters.chain(view.prepared).chain(view.held).chain(armed);
+        if let Some(counter) = counters.find(|counter| *counter > MAX_COUNTER) {
+            return Err(ImplausibleReport::Counter(counter));
+        }
+        let is_positive = self.slowness.is_finite() && self.slowness > 0.0;
+        is_positive.then_some(()).ok_or(ImplausibleReport::Slowness)
+    }
+}
+
 /// Sizes of a group's maps, as declared for its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MapSizes {
--- a/crates/map-agent/src/rank_client.rs
+++ b/crates/map-agent/src/rank_client.rs
@@ -29,6 +29,9 @@
     /// The response could not be decoded.
     #[error(transparent)]
     Decode(#[from] adapter::DecodeError),
+    /// The response can't be that of a sound rank.
+    #[error("implausible report: {0}")]
+    Implausible(#[from] rank_adapter::ImplausibleReport),
     /// The rank is in no group.
     #[error("the rank is in no group")]
     NoGroup,
@@ -63,6 +66,7 @@
     ) -> Result<message::RankStatus, RankError> {
         let body = self.client.get(self.adapter.report_path, CALL_TIMEOUT).await?.body;
         let report = (self.adapter.decode_report)(&body)?;
+        report.check()?;
         let membership = report.membership.ok_or(RankError::NoGroup)?;
         let key = (report.view.epoch, report.view.in_force);
         if self.experts_key != Some(key) {
