A refusal that is written again does not count for the next request

Cause: a response was asked whether it is a refusal before it was asked which attempt it belongs to, so that a refusal without an identifier counted for whatever request waited. Requests without an identifier, and two with the same one, can't be told apart from their responses at all.

Change: a response that names no attempt is only taken for one if it is the first on its connection. A request without an identifier, or with one of the last four that its connection had, gets another connection. Two checks of classify that took a refusal without an attempt for one now say that it is the first response; a third one says what holds otherwise.

What remains: an identifier that was used five or more requests before on the same connection.

--- a/crates/core/src/direct/response_class.rs
+++ b/crates/core/src/direct/response_class.rs
@@ -7,6 +7,9 @@
     pub status: u16,
     /// Whether the response names the attempt that was sent; `None` when it names no attempt.
     pub matches_attempt: Option<bool>,
+    /// Whether it is the first response on its connection. A later one that names no attempt may be an earlier one that was
+    /// written again.
+    pub is_first_response: bool,
     /// Whether the endpoint declares that it did not run the request.
     pub not_run: bool,
     /// Whether the response carries the signature header of an endpoint.
@@ -36,7 +39,8 @@
 /// Classifies a response by the facts in its head.
 pub fn classify(facts: ResponseFacts) -> ResponseClass {
     let is_success = (200..300).contains(&facts.status);
-    if facts.matches_attempt == Some(false) {
+    let is_attributed = facts.matches_attempt.unwrap_or(facts.is_first_response);
+    if !is_attributed {
         ResponseClass::Untrusted
     } else if facts.not_run || facts.status == MISDIRECTED_REQUEST {
         ResponseClass::Refused
--- a/crates/core/tests/direct_response_class.rs
+++ b/crates/core/tests/direct_response_class.rs
@@ -27,8 +27,26 @@
     let facts = ResponseFacts {
         status,
         matches_attempt,
+        is_first_response: true,
         not_run,
         is_authentic,
     };
     assert_eq!(classify(facts), expected);
 }
+
+// Guards against a refusal of an earlier request that counts for the next one, since it names none.
+#[rstest]
+fn later_response_that_names_no_attempt_is_not_trusted(
+    #[values(200, 400, 408, 421, 429, 500, 503)] status: u16,
+    #[values(true, false)] not_run: bool,
+    #[values(true, false)] is_authentic: bool,
+) {
+    let facts = ResponseFacts {
+        status,
+        matches_attempt: None,
+        is_first_response: false,
+        not_run,
+        is_authentic,
+    };
+    assert_eq!(classify(facts), ResponseClass::Untrusted);
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -136,8 +136,11 @@
     };
     req_cx.tried.push(Arc::clone(&endpoint.id));
     let is_unsafe = req_cx.call.grant.route.kind == route::RouteKind::Unsafe;
-    let require_recent = is_unsafe || req_cx.needs_fresh_connection;
-    let lease = match cx.pool.lease(&endpoint, require_recent).await {
+    let need = pool::LeaseNeed {
+        attempt: req_cx.call.head.attempt.as_ref(),
+        require_recent: is_unsafe || req_cx.needs_fresh_connection,
+    };
+    let lease = match cx.pool.lease(&endpoint, need).await {
         Ok(lease) => lease,
         Err(e) => {
             cx.placement
@@ -312,6 +315,7 @@
             None => Some(head.attempt.is_none()),
             Some(attempt_id) => head.attempt.as_ref().map(|id| id == attempt_id),
         },
+        is_first_response: lease.idle_time == pool::IdleTime::None,
         not_run: head.not_run,
         is_authentic: head.is_authentic,
     };
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,7 @@
 //! A pool of connections to endpoints.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time as timer;
+use xxhash_rust::xxh3;
 
 /// The timeout of a connection attempt. Endpoints are a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -30,6 +32,8 @@
 const MAX_IDLE_PER_ENDPOINT: usize = 8;
 /// The longest idle time after which a connection is still used for requests that must not be repeated.
 const MAX_RECENT_IDLE: Duration = Duration::from_millis(60);
+/// The number of attempts that a connection remembers.
+const REMEMBERED_ATTEMPTS: usize = 4;
 /// The time after which a connection with unacknowledged data is closed.
 const USER_TIMEOUT: Duration = retry_share::MAX_SILENCE;
 
@@ -58,6 +62,33 @@
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// Hashes of the attempts that were sent over it last, up to [`REMEMBERED_ATTEMPTS`].
+    attempts: VecDeque<u64>,
+}
+
+impl Connection {
+    /// Returns whether `attempt` was sent over it, as far as it is remembered.
+    fn has_sent(&self, attempt: &str) -> bool {
+        self.attempts.contains(&xxh3::xxh3_64(attempt.as_bytes()))
+    }
+
+    fn remember(&mut self, attempt: &str) {
+        if self.attempts.len() >= REMEMBERED_ATTEMPTS {
+            self.attempts.pop_front();
+        }
+        self.attempts.push_back(xxh3::xxh3_64(attempt.as_bytes()));
+    }
+}
+
+/// What a request needs of its connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LeaseNeed<'a> {
+    /// The identifier of its attempt, by which its response is told from earlier ones on the connection. A request without
+    /// one, or with one that the connection had before, gets another connection.
+    pub(crate) attempt: Option<&'a Arc<str>>,
+    /// Whether only a connection is taken from the pool that was used a moment ago, because the endpoint may have become
+    /// unreachable after the last use of an older one.
+    pub(crate) require_recent: bool,
 }
 
 impl Drop for Connection {
@@ -108,17 +139,23 @@
 
 impl Pool {
     /// Returns a connection to `endpoint`, from the pool if possible.
-    ///
-    /// With `require_recent`, only a connection that was used a moment ago is taken from the pool, because the endpoint
-    /// may have become unreachable after the last use of an older one.
     pub(crate) async fn lease(
         &self,
         endpoint: &endpoint::Endpoint,
-        require_recent: bool,
+        need: LeaseNeed<'_>,
     ) -> Result<Lease, ConnectError> {
-        if let Some((connection, idle_time)) = self.take_idle(endpoint, require_recent) {
-            return Ok(self.new_lease(endpoint, connection, idle_time));
+        let (mut connection, idle_time) = match self.take_idle(endpoint, need) {
+            Some(taken) => taken,
+            None => (Self::connect(endpoint).await?, IdleTime::None),
+        };
+        if let Some(attempt) = need.attempt {
+            connection.remember(attempt);
         }
+        Ok(self.new_lease(endpoint, connection, idle_time))
+    }
+
+    /// Opens a connection to `endpoint`.
+    async fn connect(endpoint: &endpoint::Endpoint) -> Result<Connection, ConnectError> {
         let connecting = timer::timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.addr)).await;
         let stream = connecting
             .map_err(|_elapsed| ConnectError::TimedOut)?
@@ -135,7 +172,11 @@
             // The request that uses the connection sees the error too.
             let _ended = driver.await;
         });
-        Ok(self.new_lease(endpoint, Connection { sender, driver }, IdleTime::None))
+        Ok(Connection {
+            sender,
+            driver,
+            attempts: VecDeque::new(),
+        })
     }
 
     /// Returns whether `endpoint` refuses a new connection, since its process has ended. An endpoint that can't be
@@ -175,23 +216,25 @@
         }
     }
 
-    /// Takes the most recently used connection to `endpoint` from the pool.
-    fn take_idle(&self, endpoint: &endpoint::Endpoint, require_recent: bool) -> Option<(Connection, IdleTime)> {
+    /// Takes the most recently used connection to `endpoint` that meets `need` from the pool.
+    fn take_idle(&self, endpoint: &endpoint::Endpoint, need: LeaseNeed<'_>) -> Option<(Connection, IdleTime)> {
+        let attempt = need.attempt?;
         let now = boot_clock::now();
         let mut idle = self.idle.borrow_mut();
         let at = idle.binary_search_by(|(id, _)| id.cmp(&endpoint.id)).ok()?;
         let connections = &mut idle[at].1;
         connections.retain(|c| now < c.until && c.addr == endpoint.addr && c.connection.sender.is_ready());
-        let newest = connections.last()?;
+        let newest_at = connections.iter().rposition(|c| !c.connection.has_sent(attempt))?;
+        let newest = &connections[newest_at];
         let idle_time = if now.since(newest.since) <= MAX_RECENT_IDLE {
             IdleTime::Recent
         } else {
             IdleTime::Long
         };
-        if require_recent && idle_time == IdleTime::Long {
+        if need.require_recent && idle_time == IdleTime::Long {
             return None;
         }
-        connections.pop().map(|c| (c.connection, idle_time))
+        Some((connections.remove(newest_at).connection, idle_time))
     }
 
     fn new_lease(&self, endpoint: &endpoint::Endpoint, connection: Connection, idle_time: IdleTime) -> Lease {
