Only events that go on where a stream broke off continue it

Cause: a stream was cut by blank lines alone. Any answer with a status in the 200s, whatever its media type, was forwarded up to its last blank line, and one without a body ended the stream.

The answer that continues a stream must have status 200 and be an event stream if it names a media type. A stream that ends with its connection before any event has broken off.

--- a/crates/core/src/direct/response_class.rs
+++ b/crates/core/src/direct/response_class.rs
@@ -36,6 +36,25 @@
 /// Status of a response from an endpoint other than the intended one, which did not run the request.
 const MISDIRECTED_REQUEST: u16 = 421;
 
+/// Status of a response that consists of a stream of events.
+const OK: u16 = 200;
+/// Media type of such a stream.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Returns whether a response can continue a stream that another endpoint has begun, by its status and its media type if it
+/// names one.
+pub fn is_continuation(status: u16, media_type: Option<&str>) -> bool {
+    let essence = |media_type: &str| {
+        media_type
+            .split(';')
+            .next()
+            .unwrap_or_default()
+            .trim()
+            .to_ascii_lowercase()
+    };
+    status == OK && media_type.is_none_or(|media_type| essence(media_type) == EVENT_STREAM)
+}
+
 /// Classifies a response by the facts in its head.
 pub fn classify(facts: ResponseFacts) -> ResponseClass {
     let is_success = (200..300).contains(&facts.status);
--- a/crates/core/tests/direct_response_class.rs
+++ b/crates/core/tests/direct_response_class.rs
@@ -1,7 +1,7 @@
 //! Classification of endpoints' responses.
 
 use rstest::rstest;
-use sycamorestile_core::direct::response_class::{ResponseClass, ResponseFacts, classify};
+use sycamorestile_core::direct::response_class::{ResponseClass, ResponseFacts, classify, is_continuation};
 
 #[rstest]
 #[case::response(200, Some(true), false, true, ResponseClass::Response)]
@@ -50,3 +50,23 @@
     };
     assert_eq!(classify(facts), ResponseClass::Untrusted);
 }
+
+// Guards against an error that is taken for the rest of a stream since its status is a success.
+#[rstest]
+#[case(200, None, true)]
+#[case(200, Some("text/event-stream"), true)]
+#[case(200, Some("Text/Event-Stream ; charset=utf-8"), true)]
+#[case(200, Some("application/json"), false)]
+#[case(200, Some("text/plain"), false)]
+#[case(200, Some(""), false)]
+#[case(201, None, false)]
+#[case(204, None, false)]
+#[case(206, Some("text/event-stream"), false)]
+#[case(500, Some("text/event-stream"), false)]
+fn only_a_stream_of_events_continues_a_stream(
+    #[case] status: u16,
+    #[case] media_type: Option<&str>,
+    #[case] expected: bool,
+) {
+    assert_eq!(is_continuation(status, media_type), expected);
+}
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use sycamorestile_core::direct::{attempts, crash_evidence, endpoint, event_buffer, placement};
+use sycamorestile_core::direct::{attempts, crash_evidence, endpoint, event_buffer, placement, response_class};
 use sycamorestile_core::time::Time;
 use sycamorestile_table::boot_clock;
 use tokio::sync::mpsc;
@@ -250,6 +250,9 @@
                 Ok(None) if self.buffer.has_partial() => {
                     return StreamEnd::Interrupted(Interruption::Broken("stream ended within an event"));
                 }
+                Ok(None) if stream.ends_with_connection && stream.events == 0 => {
+                    return StreamEnd::Interrupted(Interruption::Broken("stream ended before an event"));
+                }
                 Ok(None) if stream.ends_with_connection && pool::Pool::refuses_connections(&endpoint).await => {
                     return StreamEnd::Interrupted(Interruption::Broken("endpoint crashed"));
                 }
@@ -263,8 +266,9 @@
                 }
             };
             let Some(data) = frame.data_ref() else { continue };
-            let Ok(events) = self.buffer.push(data) else {
-                return StreamEnd::Interrupted(Interruption::Failed("event too long"));
+            let events = match self.buffer.push(data) {
+                Ok(events) => events,
+                Err(fault) => return StreamEnd::Interrupted(Interruption::Failed(fault.as_str())),
             };
             if events.is_empty() {
                 // Bytes without a complete event are no progress: a stalled endpoint may still send some.
@@ -292,6 +296,9 @@
             if self.tx.send(Ok(events)).await.is_err() {
                 return StreamEnd::CallerDisconnected;
             }
+            if let Some(fault) = self.buffer.fault() {
+                return StreamEnd::Interrupted(Interruption::Failed(fault.as_str()));
+            }
         }
     }
 
@@ -330,6 +337,13 @@
                 () = self.tx.closed() => return None,
             };
             match result.ok()? {
+                attempt::AttemptResult::Stream(open) if !is_continuation(&open.parts) => {
+                    next = self.req_cx.attempts.failed();
+                    let id = &open.slot.endpoint.id;
+                    self.cx.placement.borrow_mut().record_failure(id, boot_clock::now());
+                    let why = "endpoint answered something else than the rest of the stream";
+                    self.req_cx.attempt_failed(&self.cx, why, next);
+                }
                 attempt::AttemptResult::Stream(open) => {
                     let attempt::OpenStream {
                         parts,
@@ -364,3 +378,11 @@
         }
     }
 }
+
+/// Returns whether a response can continue a stream that another endpoint has begun.
+fn is_continuation(parts: &http::response::Parts) -> bool {
+    let media_type = parts.headers.get(header::CONTENT_TYPE);
+    // A media type that is no text is none of events.
+    let media_type = media_type.map(|value| value.to_str().unwrap_or_default());
+    response_class::is_continuation(parts.status.as_u16(), media_type)
+}
