An aborted stream doesn't look complete to a caller of HTTP/1.0

Callers would see: a stream that broke off ends like a complete one, if their protocol shows the end of a response only by the end of the connection.

Cause: an aborted response closes its connection, which is all that such a caller gets of a complete one, too.

aborted_stream_does_not_look_complete_to_a_caller_without_chunks failed before.

--- a/crates/connection/src/watch.rs
+++ b/crates/connection/src/watch.rs
@@ -26,6 +26,8 @@
     idle_since: Instant,
     /// Whether a request head was ever read.
     is_used: bool,
+    /// Whether the end of the connection is the only sign of the end of a response.
+    ends_response: bool,
 }
 
 /// Tracks what is under way on one connection. Clones track the same connection, which counts as open as long as one of
@@ -47,6 +49,7 @@
             blocked_since: None,
             idle_since: Instant::now(),
             is_used: false,
+            ends_response: false,
         };
         Self {
             owed,
@@ -68,6 +71,16 @@
         }
     }
 
+    /// Records that the caller knows the end of its response only by the end of the connection, as one of HTTP/1.0 does.
+    pub fn response_ends_with_connection(&self) {
+        self.lock().ends_response = true;
+    }
+
+    /// Returns whether the end of the connection is the only sign of the end of a response.
+    pub(crate) fn ends_response(&self) -> bool {
+        self.lock().ends_response
+    }
+
     /// Returns whether a request was read, and no further request has begun.
     pub(crate) fn is_between_requests(&self) -> bool {
         let state = self.lock();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, Version, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::info;
@@ -46,6 +46,9 @@
     req: Request<Incoming>,
 ) -> Response<response_body::ResponseBody> {
     let guard = connection.request_started();
+    if req.version() < Version::HTTP_11 {
+        connection.response_ends_with_connection();
+    }
     let mut response = respond(&cx, req).await;
     if cx.is_draining() {
         // The connection closes after this response, since the next request is better sent elsewhere.
