A success with a coding that nobody asked for isn't forwarded

Callers would see: a packed body in place of the endpoint's, as a success. PROTOCOL.md says that callers ask for bodies without a coding, and that a response which has one isn't the replica's body.

Change: such a success is not trusted, unless the caller's request names codings that it accepts.

--- a/crates/core/src/direct/response_class.rs
+++ b/crates/core/src/direct/response_class.rs
@@ -2,6 +2,7 @@
 
 /// Facts read from the head of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[expect(clippy::struct_excessive_bools, reason = "the facts are independent of each other")]
 pub struct ResponseFacts {
     /// HTTP status code.
     pub status: u16,
@@ -14,6 +15,8 @@
     pub not_run: bool,
     /// Whether the response carries the signature header of an endpoint.
     pub is_authentic: bool,
+    /// Whether the body has a coding that the caller did not ask for.
+    pub is_encoded: bool,
 }
 
 /// What a response means for the request.
@@ -63,7 +66,7 @@
         ResponseClass::Untrusted
     } else if facts.not_run || facts.status == MISDIRECTED_REQUEST {
         ResponseClass::Refused
-    } else if facts.matches_attempt.is_none() || (is_success && !facts.is_authentic) {
+    } else if facts.matches_attempt.is_none() || (is_success && (!facts.is_authentic || facts.is_encoded)) {
         ResponseClass::Untrusted
     } else if NOT_RUN_STATUSES.contains(&facts.status) {
         ResponseClass::Ambiguous
--- a/crates/core/tests/direct_response_class.rs
+++ b/crates/core/tests/direct_response_class.rs
@@ -30,6 +30,7 @@
         is_first_response: true,
         not_run,
         is_authentic,
+        is_encoded: false,
     };
     assert_eq!(classify(facts), expected);
 }
@@ -47,6 +48,7 @@
         is_first_response: false,
         not_run,
         is_authentic,
+        is_encoded: false,
     };
     assert_eq!(classify(facts), ResponseClass::Untrusted);
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -318,6 +318,7 @@
         is_first_response: lease.idle_time == pool::IdleTime::None,
         not_run: head.not_run,
         is_authentic: head.is_authentic,
+        is_encoded: is_encoded(&parts.headers) && !req_cx.call.headers.contains_key(header::ACCEPT_ENCODING),
     };
     let now = boot_clock::now();
     let id = Arc::clone(&slot.endpoint.id);
@@ -439,6 +440,12 @@
     !is_framed && !body.is_end_stream()
 }
 
+/// Returns whether the body has a coding.
+fn is_encoded(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(header::CONTENT_ENCODING).iter();
+    codings.into_iter().any(|coding| coding != "identity")
+}
+
 /// Returns the connection to the pool unless the response asks to close it.
 pub(crate) fn release_connection(lease: pool::Lease, headers: &HeaderMap, head: &header_adapter::ResponseHead) {
     let tokens = headers
