An agent joins only events of the same response to a stream

Callers of the product's own path would see the text of an error, or its head, in the middle of their stream, when a stream breaks off and the endpoint answers something else over the agent's second connection; and a stream that an error status ends as if it were complete.

Cause: the agent looked only whether the second response names an event stream, by the beginning of its media type. It compared no status and took whatever lay between blank lines for events.

Change: the second response must have the status of the first one, and each block must be an event. What tells streams of events apart is shared with the gateway (core::event_stream); media types are compared whole and without regard to case, where Text/Event-Stream was no stream before and text/event-streams was one.

--- a/crates/core/src/direct/event_buffer.rs
+++ b/crates/core/src/direct/event_buffer.rs
@@ -7,17 +7,13 @@
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 
-/// Largest event, in bytes.
-pub const MAX_EVENT_BYTES: usize = 1 << 20;
-
-/// Fields of an event.
-const FIELDS: [&[u8]; 4] = [b"id", b"data", b"event", b"retry"];
+use crate::event_stream;
 
 /// The reason why what an endpoint sends can't be forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("{}", self.as_str())]
 pub enum EventFault {
-    /// An event is longer than [`MAX_EVENT_BYTES`].
+    /// An event is longer than [`event_stream::MAX_EVENT_BYTES`].
     TooLong,
     /// A block of lines has no field of an event.
     NotAnEvent,
@@ -80,7 +76,7 @@
             self.record(end, len);
             end += len;
         }
-        if self.fault.is_none() && self.partial.len() - end > MAX_EVENT_BYTES {
+        if self.fault.is_none() && self.partial.len() - end > event_stream::MAX_EVENT_BYTES {
             self.fault = Some(EventFault::TooLong);
         }
         match self.fault {
@@ -113,7 +109,7 @@
 
     /// Returns what is wrong with a block of lines that ends with a blank one.
     fn check(&self, block: &[u8]) -> Option<EventFault> {
-        if !is_event(block) {
+        if !event_stream::is_event(block) {
             return Some(EventFault::NotAnEvent);
         }
         let (last, id) = (number(self.last_id.as_deref()?)?, number(identifier(block)?)?);
@@ -154,16 +150,6 @@
         .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
 }
 
-/// Returns whether a block of lines is an event, a comment or empty.
-fn is_event(block: &[u8]) -> bool {
-    let is_field = |line: &[u8]| {
-        let name = line.split(|b| *b == b':').next().unwrap_or_default();
-        name.is_empty() || FIELDS.contains(&name)
-    };
-    let mut filled = lines(block).filter(|line| !line.is_empty()).peekable();
-    filled.peek().is_none() || filled.any(is_field)
-}
-
 /// Returns the value of the last `id` field of an event.
 fn identifier(block: &[u8]) -> Option<&str> {
     let id = lines(block).rev().find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/core/src/direct/response_class.rs
+++ b/crates/core/src/direct/response_class.rs
@@ -1,5 +1,7 @@
 //! Classifies the head of an endpoint's response by what it proves about the request.
 
+use crate::event_stream;
+
 /// Facts read from the head of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[expect(clippy::struct_excessive_bools, reason = "the facts are independent of each other")]
@@ -41,21 +43,11 @@
 
 /// Status of a response that consists of a stream of events.
 const OK: u16 = 200;
-/// Media type of such a stream.
-const EVENT_STREAM: &str = "text/event-stream";
 
 /// Returns whether a response can continue a stream that another endpoint has begun, by its status and its media type if it
 /// names one.
 pub fn is_continuation(status: u16, media_type: Option<&str>) -> bool {
-    let essence = |media_type: &str| {
-        media_type
-            .split(';')
-            .next()
-            .unwrap_or_default()
-            .trim()
-            .to_ascii_lowercase()
-    };
-    status == OK && media_type.is_none_or(|media_type| essence(media_type) == EVENT_STREAM)
+    status == OK && media_type.is_none_or(event_stream::is_event_stream)
 }
 
 /// Classifies a response by the facts in its head.
--- a/crates/core/src/event_splitter.rs
+++ b/crates/core/src/event_splitter.rs
@@ -3,8 +3,7 @@
 //! A response can be continued over another connection or by another endpoint only between two events. The agent and
 //! the entry therefore forward whole events and count them.
 
-/// Maximum length of an event, in bytes.
-pub const MAX_EVENT_BYTES: usize = 1 << 20;
+use crate::event_stream;
 
 /// Splits received bytes into complete events.
 #[derive(Debug, Clone, Default)]
@@ -13,9 +12,9 @@
     partial: Vec<u8>,
 }
 
-/// Error for an event longer than [`MAX_EVENT_BYTES`].
+/// Error for an event longer than [`event_stream::MAX_EVENT_BYTES`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("the event is longer than {MAX_EVENT_BYTES} bytes")]
+#[error("the event is longer than {} bytes", event_stream::MAX_EVENT_BYTES)]
 pub struct EventTooLong;
 
 impl EventSplitter {
@@ -25,7 +24,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`EventTooLong`] if the incomplete event that remains is longer than [`MAX_EVENT_BYTES`].
+    /// Returns [`EventTooLong`] if the incomplete event that remains is longer than [`event_stream::MAX_EVENT_BYTES`].
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Vec<u8>>, EventTooLong> {
         let mut events = Vec::new();
         for byte in bytes {
@@ -37,7 +36,7 @@
                 events.push(std::mem::take(&mut self.partial));
             }
         }
-        if self.partial.len() > MAX_EVENT_BYTES {
+        if self.partial.len() > event_stream::MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
         Ok(events)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod entry_board;
 pub mod entry_selector;
 pub mod event_splitter;
+pub mod event_stream;
 pub mod fair_queue;
 pub mod frame_order;
 pub mod incarnation;
--- a/crates/core/tests/frame_order.rs
+++ b/crates/core/tests/frame_order.rs
@@ -4,6 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 use sycamorestile_core::attempt_id;
 use sycamorestile_core::event_splitter;
+use sycamorestile_core::event_stream;
 use sycamorestile_core::frame_order;
 
 #[test]
@@ -52,6 +53,6 @@
 #[test]
 fn an_event_that_is_too_long_is_an_error() {
     let mut splitter = event_splitter::EventSplitter::default();
-    let long = vec![b'x'; event_splitter::MAX_EVENT_BYTES + 1];
+    let long = vec![b'x'; event_stream::MAX_EVENT_BYTES + 1];
     assert_eq!(splitter.push(&long), Err(event_splitter::EventTooLong));
 }
--- a/crates/node/src/agent/endpoint_call.rs
+++ b/crates/node/src/agent/endpoint_call.rs
@@ -14,6 +14,7 @@
 use sycamorestile_core::claim;
 use sycamorestile_core::config::endpoint;
 use sycamorestile_core::event_splitter;
+use sycamorestile_core::event_stream;
 use sycamorestile_core::problem;
 use sycamorestile_core::time::Time;
 use sycamorestile_wire::attempt_request;
@@ -32,8 +33,6 @@
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Time without a reader after which an idempotent call is aborted.
 const ABANDONED_TIMEOUT: Duration = Duration::from_secs(5);
-/// Content type of event streams.
-const EVENT_STREAM: &str = "text/event-stream";
 
 /// Result of a call to the endpoint.
 #[derive(Debug)]
@@ -55,8 +54,8 @@
 }
 
 struct Progress {
-    /// Whether a head frame was appended.
-    head_sent: bool,
+    /// Status in the head frame, once that was appended.
+    status: Option<u16>,
     /// Number of complete events appended, counted from the start of the response.
     events: u32,
     last_event: Option<Time>,
@@ -71,7 +70,7 @@
 ) -> EndpointResult {
     let deadline = cx.clock.now() + Duration::from_millis(req.deadline_ms);
     let mut progress = Progress {
-        head_sent: false,
+        status: None,
         events: req.resume_from.unwrap_or(0),
         last_event: None,
     };
@@ -172,29 +171,28 @@
     let status = response.status().as_u16();
     let content_type = response.headers().get(http::header::CONTENT_TYPE);
     let content_type: Option<Box<str>> = content_type.and_then(|v| v.to_str().ok()).map(Into::into);
-    let is_stream = content_type.as_deref().is_some_and(|t| t.starts_with(EVENT_STREAM));
+    let is_stream = content_type.as_deref().is_some_and(event_stream::is_event_stream);
     let head = frame::FrameBody::Head {
         status,
         content_type: content_type.clone(),
     };
+    if progress.status.is_some_and(|begun| !is_stream || begun != status) {
+        let problem = problem::Problem::new(
+            problem::ProblemKind::AnswerCut,
+            "the endpoint did not continue its stream",
+        );
+        return Err(ReadError::Final(problem));
+    }
     if is_stream {
-        if !progress.head_sent {
-            progress.head_sent = true;
+        if progress.status.replace(status).is_none() {
             log.push(head, cx.clock.now());
         }
         return receive_events(cx, req, log, response.into_body(), progress, deadline)
             .await
             .map(|()| None);
     }
-    if progress.head_sent {
-        let problem = problem::Problem::new(
-            problem::ProblemKind::AnswerCut,
-            "the endpoint did not continue its stream",
-        );
-        return Err(ReadError::Final(problem));
-    }
     let body = receive_body(cx, req, response.into_body(), deadline).await?;
-    progress.head_sent = true;
+    progress.status = Some(status);
     log.push(head, cx.clock.now());
     log.push(frame::FrameBody::Data(body.clone()), cx.clock.now());
     Ok(Some(claim::StoredResponse {
@@ -259,6 +257,9 @@
             ))
         };
         for event in splitter.push(data).map_err(too_long)? {
+            if !event_stream::is_event(&event) {
+                return Err(ReadError::Connection);
+            }
             let is_end = event_splitter::is_end_event(&event);
             log.push(frame::FrameBody::Data(event), cx.clock.now());
             if is_end {
--- a/crates/node/src/entry/sink.rs
+++ b/crates/node/src/entry/sink.rs
@@ -5,14 +5,13 @@
 //! event.
 
 use bytes::Bytes;
+use sycamorestile_core::event_stream;
 use sycamorestile_core::problem;
 use sycamorestile_core::time;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::entry::caller_response;
 
-/// Content type of event streams.
-const EVENT_STREAM: &str = "text/event-stream";
 /// Maximum number of events buffered for a slow caller.
 const CALLER_QUEUE: usize = 256;
 
@@ -143,5 +142,5 @@
 }
 
 fn is_event_stream(content_type: Option<&str>) -> bool {
-    content_type.is_some_and(|t| t.starts_with(EVENT_STREAM))
+    content_type.is_some_and(event_stream::is_event_stream)
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod module_circles;
 mod operators;
 mod partitions;
+mod resumed_streams;
 mod streams;
 mod summary;
 mod support;
--- a/tests/all/support/cluster.rs
+++ b/tests/all/support/cluster.rs
@@ -151,7 +151,8 @@
         }
     }
 
-    /// Declares a service whose calls to `path` are idempotent, with `endpoints` by name, and starts their agents.
+    /// Declares a service whose calls to `path` are idempotent, with `endpoints` by name that can resume streams, and starts
+    /// their agents.
     pub(crate) fn add_service(&mut self, service: &str, path: &str, endpoints: &[(String, SocketAddr)]) {
         let mut yaml = format!(
             "services:\n- name: {service}\n  kind: plain\n  max_body_bytes: 4096\n  routes:\n  - path: {path}\n    \
@@ -161,7 +162,8 @@
             // Writing to a string can't fail.
             let _result = write!(
                 yaml,
-                "- name: {name}\n  service: {service}\n  failure_domain: {DOMAIN}\n  address: {address}\n  slots: 4\n"
+                "- name: {name}\n  service: {service}\n  failure_domain: {DOMAIN}\n  address: {address}\n  slots: 4\n  \
+                 features: [resume]\n"
             );
         }
         self.declare(&yaml);
