Comments don't count where a stream of the product's own path is resumed

Callers would miss pieces: an endpoint that sends comments, to keep its stream open, or blocks without data, is asked to go on as many events too late when its stream breaks off.

Cause: agents and entries count blocks of lines, where readers of the stream take only those with data for events.

Change: blocks without data are forwarded and not counted.

comments_do_not_count_where_a_stream_is_resumed failed before: the endpoint was asked to go on after six events instead of three.

--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -19,13 +19,19 @@
 
 /// Returns whether a block of lines is an event, a comment or empty.
 pub fn is_event(block: &[u8]) -> bool {
-    let is_field = |line: &[u8]| {
-        let name = line.split(|b| *b == b':').next().unwrap_or_default();
-        name.is_empty() || FIELDS.contains(&name)
-    };
-    let mut filled = block
+    field_names(block).next().is_none() || field_names(block).any(|name| name.is_empty() || FIELDS.contains(&name))
+}
+
+/// Returns whether a block of lines is an event for its reader: comments and blocks of other fields are none.
+pub fn has_data(block: &[u8]) -> bool {
+    field_names(block).any(|name| name == b"data")
+}
+
+/// Returns what stands before the colon of each line, which is nothing in a comment.
+fn field_names(block: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = block
         .split(|b| *b == b'\n')
-        .filter(|line| !matches!(line, [] | [b'\r']))
-        .peekable();
-    filled.peek().is_none() || filled.any(is_field)
+        .map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let filled = lines.filter(|line| !line.is_empty());
+    filled.map(|line| line.split(|b| *b == b':').next().unwrap_or_default())
 }
--- a/crates/core/tests/direct_event_buffer.rs
+++ b/crates/core/tests/direct_event_buffer.rs
@@ -86,6 +86,7 @@
 #[case::blank_lines("\n\n\n")]
 #[case::data_alone("data: a\n\n")]
 #[case::field_without_value("data\n\n")]
+#[case::field_without_value_with_carriage_return("data\r\n\r\n")]
 #[case::unknown_field_first("x-weight-versions: 7\nid: 9\ndata: a\n\n")]
 #[case::end("event: end\n\n")]
 #[case::other_identifier("id: a7\ndata: a\n\n")]
--- a/crates/node/src/agent/endpoint_call.rs
+++ b/crates/node/src/agent/endpoint_call.rs
@@ -261,11 +261,14 @@
                 return Err(ReadError::Connection);
             }
             let is_end = event_splitter::is_end_event(&event);
+            let has_data = event_stream::has_data(&event);
             log.push(frame::FrameBody::Data(event), cx.clock.now());
             if is_end {
                 return Ok(());
             }
-            record_event(cx, progress, started);
+            if has_data {
+                record_event(cx, progress, started);
+            }
         }
         check_still_wanted(cx, req, log, deadline)?;
     }
--- a/crates/node/src/entry/sink.rs
+++ b/crates/node/src/entry/sink.rs
@@ -89,11 +89,11 @@
             return false;
         }
         let started = self.start_stream();
+        self.events += u32::from(event_stream::has_data(&data));
         if let Some(events) = &self.events_tx {
             // A disconnected caller is detected by `is_closed`.
             let _sent = events.send(Bytes::from(data)).await;
         }
-        self.events += 1;
         self.last_event = Some(now);
         started
     }
--- a/tests/all/resumed_streams.rs
+++ b/tests/all/resumed_streams.rs
@@ -211,3 +211,19 @@
     let (status, got) = broken.call(&script);
     assert_eq!((status, got), (200, events(0..BEGUN) + &script.body));
 }
+
+// Guards against pieces that are missing since something else than events was counted as such.
+#[test]
+fn comments_do_not_count_where_a_stream_is_resumed() {
+    let broken = Broken::start();
+    let begun = events(0..1) + ": waiting\n\n" + "retry: 10\n\n" + &events(1..BEGUN) + ": waiting\n\n";
+    let script = Script {
+        begun: begun.clone(),
+        status: 200,
+        media_type: Some("text/event-stream"),
+        body: events(BEGUN..EVENTS) + &end(),
+        is_chunked: true,
+    };
+    let (status, got) = broken.call(&script);
+    assert_eq!((status, got), (200, begun + &script.body));
+}
