The test of a change that is being written leaves room for the platform's timeout

a_terminated_entry_reports_the_outcome_of_a_change_that_is_being_written failed once in a run of all tests: "not-applied, no response from the platform". The test is wrong: its proxy delayed each chunk by 400 ms, which makes up to 1.2 s for one call to the platform, of which the entry waits for 1 s. The outcome was reported, which is what the test is about, but was not the one that it expects.

Each chunk is now delayed by 250 ms, 750 ms a call, and the signal comes 0.1 s after the change began instead of 0.3 s, so that the change still outlasts the former drain by as much.

--- a/tests/all/draining.rs
+++ b/tests/all/draining.rs
@@ -160,11 +160,11 @@
     let yaml = "organisations:\n- name: late\n  calls_per_second: 10\n  burst: 20\n";
     let file = cluster.write_file("late.yaml", yaml);
     let path = file.to_str().expect("the path is UTF-8").to_owned();
-    // Slow, but within the timeout of a call to the platform.
-    let mode = fault_proxy::Mode::Delay(Duration::from_millis(400));
+    // Slow, but within the timeout of a call to the platform, which is delayed up to three times.
+    let mode = fault_proxy::Mode::Delay(Duration::from_millis(250));
     cluster.entries[0].platform_proxy.set_mode(mode);
     let operator = thread::spawn(move || process::run(&["operator", "--addr", &operators, "declare", &path]));
-    thread::sleep(Duration::from_millis(300));
+    thread::sleep(Duration::from_millis(100));
     cluster.entries[0].process.terminate();
     let output = operator.join().expect("the operator's thread finishes");
     assert!(
