--- a/crates/table/src/feed.rs
+++ b/crates/table/src/feed.rs
@@ -9,6 +9,7 @@
 
 use slog::{Logger, info, warn};
 use sycamorestile_core::direct::table_clock;
+use sycamorestile_core::time;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time as timer;
 
@@ -89,19 +90,21 @@
     let mut position = position::Position::default();
     let mut retry_delay = INITIAL_RETRY_DELAY;
     let mut unavailable = false;
+    // The reads that failed in a row, and when the last one of them was sent.
+    let mut failed_reads = 0_u32;
+    let mut last_failed = boot_clock::now();
     let mut clock = table_clock::TableClock::default();
     let mut read_requested = false;
     loop {
         let requested_at = boot_clock::now();
+        let mut wait = Duration::ZERO;
         let result = match position.version() {
             None => reader.read_all(topic).await,
             Some(after) => {
                 let read_now = read_requested || clock.is_stale();
-                let wait = if read_now {
-                    Duration::ZERO
-                } else {
-                    *control.wait.borrow()
-                };
+                if !read_now {
+                    wait = *control.wait.borrow();
+                }
                 read_requested = false;
                 let eras = reader.eras().clone();
                 let reading = reader.read_changes(topic, after, wait);
@@ -132,9 +135,12 @@
                 if matches!(e, reader::ReadError::Decode(_)) {
                     position.start_over();
                 }
+                failed_reads += 1;
+                last_failed = requested_at;
                 if !unavailable {
                     warn!(log, "failed to read from the table; retrying"; "topic" => topic.as_str(),
-                        "addr" => %reader.addr(), "error" => %e);
+                        "addr" => %reader.addr(), "asked_wait_ms" => wait.as_millis() as u64,
+                        "sent_ms_ago" => elapsed_ms(requested_at), "error" => %e);
                     unavailable = true;
                     if tx.send((topic, feed_event::FeedEvent::Unavailable)).await.is_err() {
                         return;
@@ -156,8 +162,11 @@
         }
         retry_delay = INITIAL_RETRY_DELAY;
         if unavailable {
-            info!(log, "table is available again"; "topic" => topic.as_str(), "version" => page.version);
+            info!(log, "table is available again"; "topic" => topic.as_str(), "version" => page.version,
+                "failed_reads" => failed_reads, "last_failed_sent_ms_ago" => elapsed_ms(last_failed),
+                "sent_ms_ago" => elapsed_ms(requested_at));
             unavailable = false;
+            failed_reads = 0;
             if tx.send((topic, feed_event::FeedEvent::Recovered)).await.is_err() {
                 return;
             }
@@ -175,3 +184,8 @@
         }
     }
 }
+
+/// Returns how long ago `since` was, in milliseconds.
+fn elapsed_ms(since: time::Time) -> u64 {
+    boot_clock::now().since(since).as_millis() as u64
+}
