The promise of a topic bounds its polls, and gateways tell each other what they lack

Besides, the grace for lapsed entries counted from that notice, so that an entry that was removed 3 s after the return was passed over for two seconds more (`gone: false`).

Ruled out: that the change was known and waited for its batch, or that kept connections went on (no request came after the change was known and the batch was over).

Change: the wait of a poll follows from what its topic promises (drainMs, configApplyMs). One gateway of each failure domain reads endpoints so often, as one did for declarations, and tells the others at once which change is the newest; they poll for 25 s and read when they lack it or aren't told for 1.8 s. The feeds of a process share what they see of the table: while it is away one read at a time tests it, and after its return, or when a poll was lost, whatever was sent before is repeated, spread.

--- a/crates/core/src/direct/confirmation.rs
+++ b/crates/core/src/direct/confirmation.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::spread;
 use crate::time;
 
 /// Upper bound of the interval between two reads of a reader.
@@ -22,7 +23,9 @@
 /// Time beyond its interval after which a silent reader counts as failed: one call and one round of datagrams.
 const READER_TIMEOUT_MARGIN: Duration = Duration::from_millis(800);
 /// Age of the last confirmation, beyond a reader's interval, at which an instance reads the table itself.
-const CONFIRMATION_AGE_MARGIN: Duration = Duration::from_millis(900);
+const CONFIRMATION_AGE_MARGIN: Duration = Duration::from_millis(750);
+/// Period over which instances spread such reads, since confirmations stop for all of them at the same moment.
+const READ_SPREAD: Duration = Duration::from_millis(150);
 /// Minimum time between two such reads.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(800);
 /// Maximum relative drift between the table's clock and the instance's clock.
@@ -126,7 +129,8 @@
     /// Returns whether to read the table now, given the `age` of the last confirmation and whether the declarations are
     /// known to be `outdated`.
     pub fn should_read(&mut self, age: Option<Duration>, outdated: bool, now: time::Time) -> bool {
-        let due = outdated || age.is_none_or(|age| age >= self.interval + CONFIRMATION_AGE_MARGIN);
+        let max_age = self.interval + CONFIRMATION_AGE_MARGIN + spread::delay(&self.instance, READ_SPREAD);
+        let due = outdated || age.is_none_or(|age| age >= max_age);
         let requested_recently = self.last_requested.is_some_and(|at| now.since(at) < MIN_READ_INTERVAL);
         if due && !requested_recently {
             self.last_requested = Some(now);
--- a/crates/core/src/direct/endpoint_set.rs
+++ b/crates/core/src/direct/endpoint_set.rs
@@ -1,7 +1,7 @@
 //! The set of known endpoints, built from the entries that they keep in the platform's table.
 //!
-//! Entries expire while the table is unavailable, and live endpoints write them again soon after it recovers. An entry
-//! that is missing right after an outage is therefore removed only when it stays missing for [`RECOVERY_GRACE`].
+//! Entries expire while the table is away, and live endpoints write them again soon after it answers again. An entry
+//! that is missing then is therefore removed only when it stays missing for [`RECOVERY_GRACE`].
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use crate::direct::endpoint;
 use crate::time;
 
-/// Time after the table's recovery within which an expired entry may be written again. The platform guarantees about
+/// Time after the table's return within which an expired entry may be written again. The platform guarantees about
 /// two seconds.
 pub const RECOVERY_GRACE: Duration = Duration::from_secs(2);
 
@@ -17,8 +17,19 @@
 #[derive(Debug, Clone)]
 struct Member {
     endpoint: Arc<endpoint::Endpoint>,
-    /// Set while the entry is missing: the time until which it may be written again.
-    missing_until: Option<time::Time>,
+    /// Whether the entry is missing, and may be written again.
+    is_missing: bool,
+}
+
+/// Whether missing entries may be written again.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Grace {
+    #[default]
+    None,
+    /// The table is away.
+    WhileAway,
+    /// The table was away, and entries are written again until this time.
+    Until(time::Time),
 }
 
 /// The set of known endpoints.
@@ -26,21 +37,28 @@
 pub struct EndpointSet {
     /// Sorted by endpoint id.
     members: Vec<Member>,
-    /// End of the grace period for missing entries after the last outage of the table.
-    grace_until: Option<time::Time>,
+    grace: Grace,
 }
 
 impl EndpointSet {
-    /// Records that the table is available again after an outage.
-    pub fn table_recovered(&mut self, now: time::Time) {
-        self.grace_until = Some(now + RECOVERY_GRACE);
+    /// Records that the table is away.
+    pub fn table_away(&mut self) {
+        self.grace = Grace::WhileAway;
+    }
+
+    /// Records that the table has answered again since `returned_at`.
+    pub fn table_returned(&mut self, returned_at: time::Time) {
+        let end = returned_at + RECOVERY_GRACE;
+        if !matches!(self.grace, Grace::Until(until) if until >= end) {
+            self.grace = Grace::Until(end);
+        }
     }
 
     /// Adds or updates an endpoint whose entry was written.
     pub fn put(&mut self, endpoint: endpoint::Endpoint) {
         let member = Member {
             endpoint: Arc::new(endpoint),
-            missing_until: None,
+            is_missing: false,
         };
         match self.position(&member.endpoint.id) {
             Ok(at) => self.members[at] = member,
@@ -51,9 +69,13 @@
     /// Handles the removal of the entry `id`. Returns whether the endpoint was removed from the set at once.
     pub fn remove(&mut self, id: &str, now: time::Time) -> bool {
         let Ok(at) = self.position(id) else { return false };
-        let grace = self.grace_until.filter(|until| now < *until);
-        if grace.is_some() && self.members[at].endpoint.state == endpoint::EndpointState::Ready {
-            self.members[at].missing_until = grace;
+        let may_return = match self.grace {
+            Grace::None => false,
+            Grace::WhileAway => true,
+            Grace::Until(until) => now < until,
+        };
+        if may_return && self.members[at].endpoint.state == endpoint::EndpointState::Ready {
+            self.members[at].is_missing = true;
             return false;
         }
         self.members.remove(at);
@@ -75,12 +97,17 @@
 
     /// Removes endpoints whose entries were not written again within the grace period.
     pub fn expire(&mut self, now: time::Time) {
-        self.members.retain(|m| m.missing_until.is_none_or(|until| now < until));
+        if matches!(self.grace, Grace::Until(until) if now >= until) {
+            self.members.retain(|m| !m.is_missing);
+        }
     }
 
     /// Returns the time at which [`Self::expire`] next has an endpoint to remove.
     pub fn next_expiry(&self) -> Option<time::Time> {
-        self.members.iter().filter_map(|m| m.missing_until).min()
+        match self.grace {
+            Grace::Until(until) if self.members.iter().any(|m| m.is_missing) => Some(until),
+            _ => None,
+        }
     }
 
     /// Returns the endpoints that accept new requests, sorted by id.
--- a/crates/core/tests/direct_endpoint_set.rs
+++ b/crates/core/tests/direct_endpoint_set.rs
@@ -50,7 +50,7 @@
 #[test]
 fn entries_that_expired_in_an_outage_have_a_grace_period() {
     let mut endpoints = endpoints();
-    endpoints.table_recovered(Time::from_millis(10_000));
+    endpoints.table_returned(Time::from_millis(10_000));
     assert!(!endpoints.remove("e1", Time::from_millis(10_010)));
     assert!(!endpoints.remove("e2", Time::from_millis(10_010)));
     assert_eq!(
@@ -79,6 +79,27 @@
 fn a_draining_endpoint_has_no_grace_period() {
     let mut endpoints = endpoints();
     endpoints.put(endpoint("e2", EndpointState::Draining));
-    endpoints.table_recovered(Time::from_millis(10_000));
+    endpoints.table_returned(Time::from_millis(10_000));
     assert!(endpoints.remove("e2", Time::from_millis(10_010)));
 }
+
+#[test]
+fn entries_that_expire_while_the_table_is_away_have_the_same_grace_period() {
+    let mut endpoints = endpoints();
+    endpoints.table_away();
+    assert!(!endpoints.remove("e1", Time::from_millis(5_000)));
+    endpoints.expire(Time::from_millis(9_000));
+    assert_eq!(ready(&endpoints), ["e1", "e2", "e3"]);
+    assert_eq!(endpoints.next_expiry(), None, "nothing can be written again yet");
+    endpoints.table_returned(Time::from_millis(10_000));
+    assert_eq!(endpoints.next_expiry(), Some(Time::from_millis(12_000)));
+    endpoints.expire(Time::from_millis(12_000));
+    assert_eq!(ready(&endpoints), ["e2", "e3"]);
+}
+
+#[test]
+fn an_entry_that_is_removed_after_the_grace_period_has_none() {
+    let mut endpoints = endpoints();
+    endpoints.table_returned(Time::from_millis(10_000));
+    assert!(endpoints.remove("e1", Time::from_millis(12_000)));
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,7 @@
     paused_endpoints: Gauge,
     leaving_endpoints: Gauge,
     table_era: Gauge,
+    endpoint_list_age: Gauge,
     forgotten_withdrawals: Counter,
     /// The organisations with their own label, sorted.
     organisations: RefCell<Vec<Arc<str>>>,
@@ -144,6 +145,11 @@
                 "table_era",
                 "How often the platform's table has come back from an older copy, as the table counts it",
             ),
+            endpoint_list_age: new(
+                &mut registry,
+                "endpoint_list_age_milliseconds",
+                "Time since which changes of endpoints may be unknown, by this gateway's own reads and those of its peers",
+            ),
             paused_endpoints: new(
                 &mut registry,
                 "paused_endpoints",
@@ -249,6 +255,12 @@
         self.table_era.set(i64::try_from(era).unwrap_or(i64::MAX));
     }
 
+    /// Sets the time since which changes of endpoints may be unknown.
+    pub(crate) fn set_endpoint_list_age(&self, age: Duration) {
+        self.endpoint_list_age
+            .set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+    }
+
     /// Counts withdrawals that were forgotten for want of room.
     pub(crate) fn record_forgotten_withdrawals(&self, count: usize) {
         self.forgotten_withdrawals.inc_by(count as u64);
--- a/crates/gateway/src/monitoring.rs
+++ b/crates/gateway/src/monitoring.rs
@@ -19,7 +19,12 @@
         "/readyz" if is_ready(cx) => (StatusCode::OK, "ready\n".to_owned()),
         "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         "/healthz" => (StatusCode::OK, "alive\n".to_owned()),
-        "/metrics" => (StatusCode::OK, cx.metrics.text()),
+        "/metrics" => {
+            if let Some(at) = cx.snapshot().endpoints_confirmed_at {
+                cx.metrics.set_endpoint_list_age(boot_clock::now().since(at));
+            }
+            (StatusCode::OK, cx.metrics.text())
+        }
         _ => (StatusCode::NOT_FOUND, "see /readyz, /healthz, /metrics\n".to_owned()),
     };
     let mut response = Response::new(response_body::ResponseBody::whole(text));
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -23,11 +23,23 @@
     pub(crate) in_flight: Vec<(Arc<str>, u32)>,
     /// The sender's own last read of the declarations, in some rounds after the read.
     pub(crate) own_read: Option<confirmation::Confirmation>,
+    /// The sender's own last read of the endpoints, whose version is that of the newest change, in the same rounds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) own_endpoint_read: Option<confirmation::Confirmation>,
     /// What the sender knows about endpoints, in datagrams of the exchange of facts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) facts: Option<endpoint_facts::EndpointFacts>,
 }
 
+/// What a gateway itself has read of the table.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct OwnReads {
+    /// The last read of the declarations.
+    pub(crate) declarations: Option<confirmation::Confirmation>,
+    /// The last read of the endpoints.
+    pub(crate) endpoints: Option<confirmation::Confirmation>,
+}
+
 /// Sends `facts` to the peer at `addr` and returns the number of bytes sent.
 pub(crate) async fn send_facts(
     cx: &context::GatewayContext,
@@ -36,7 +48,7 @@
     facts: endpoint_facts::EndpointFacts,
 ) -> usize {
     let in_flight = cx.placement.borrow().own_in_flight();
-    match encode(cx, in_flight, None, Some(facts)) {
+    match encode(cx, in_flight, OwnReads::default(), Some(facts)) {
         Some(datagram) => send_datagram(cx, socket, &datagram, addr).await,
         None => 0,
     }
@@ -46,14 +58,15 @@
 pub(crate) fn encode(
     cx: &context::GatewayContext,
     in_flight: Vec<(Arc<str>, u32)>,
-    own_read: Option<confirmation::Confirmation>,
+    own_reads: OwnReads,
     facts: Option<endpoint_facts::EndpointFacts>,
 ) -> Option<Vec<u8>> {
     let message = PeerMessage {
         instance: Arc::clone(&cx.settings.instance),
         failure_domain: Arc::clone(&cx.settings.failure_domain),
         in_flight,
-        own_read,
+        own_read: own_reads.declarations,
+        own_endpoint_read: own_reads.endpoints,
         facts,
     };
     let encoded = serde_json::to_vec(&message);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,16 +8,15 @@
 use std::time::Duration;
 
 use slog::{debug, warn};
-use sycamorestile_core::direct::confirmation;
 use sycamorestile_table::boot_clock;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time;
 
 use crate::context;
-use crate::control;
 use crate::fact_exchange;
 use crate::peer_link;
+use crate::peer_read;
 use crate::withdrawal;
 
 /// The shortest time between two rounds of datagrams.
@@ -26,8 +25,8 @@
 const MAX_SEND_INTERVAL: Duration = Duration::from_millis(500);
 /// The rate at which a gateway may send to its peers. It is part of the target of 9 KB/s for all control traffic.
 const BYTES_PER_SECOND: f64 = 6_000.0;
-/// The time for which a read of the declarations is sent. It covers at least two rounds, since datagrams can get lost.
-const READ_REPEAT_TIME: Duration = Duration::from_secs(1);
+/// The number of rounds in which a read of the table is sent, since datagrams can get lost.
+const READ_ROUNDS: u32 = 3;
 /// The largest datagram that is received, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 32 << 10;
 
@@ -35,32 +34,44 @@
 pub(crate) async fn run(
     cx: Rc<context::GatewayContext>,
     socket: Rc<UdpSocket>,
-    peer_reads: mpsc::Sender<control::PeerRead>,
+    peer_reads: mpsc::Sender<peer_read::PeerRead>,
+    read_news: Arc<Notify>,
 ) {
     tokio::task::spawn_local(receive(Rc::clone(&cx), Rc::clone(&socket), peer_reads));
     let mut interval = MIN_SEND_INTERVAL;
     let mut last_in_flight: Vec<(Arc<str>, u32)> = Vec::new();
-    let mut last_read = None;
-    let mut read_sent_for = Duration::ZERO;
+    let mut last_reads = peer_link::OwnReads::default();
+    let mut read_rounds = 0;
     let mut unchanged = Duration::ZERO;
     loop {
-        time::sleep(interval).await;
+        let has_news = tokio::select! {
+            () = time::sleep(interval) => false,
+            () = read_news.notified() => true,
+        };
         let in_flight = cx.placement.borrow().own_in_flight();
-        let own_read = cx.snapshot().own_read;
-        if in_flight == last_in_flight && own_read == last_read && unchanged < MAX_SEND_INTERVAL {
+        let snapshot = cx.snapshot();
+        let own_reads = peer_link::OwnReads {
+            declarations: snapshot.own_read,
+            endpoints: snapshot.own_endpoint_read,
+        };
+        let is_unchanged = in_flight == last_in_flight && own_reads == last_reads;
+        if is_unchanged && !has_news && unchanged < MAX_SEND_INTERVAL {
             unchanged += interval;
             continue;
         }
         unchanged = Duration::ZERO;
-        if own_read != last_read {
-            read_sent_for = Duration::ZERO;
+        if own_reads != last_reads {
+            read_rounds = 0;
         }
-        let read_to_send = own_read.filter(|_| read_sent_for < READ_REPEAT_TIME);
-        read_sent_for += interval;
-        interval = send_to_peers(&cx, &socket, &in_flight, read_to_send).await;
+        let reads_to_send = if read_rounds < READ_ROUNDS {
+            own_reads
+        } else {
+            peer_link::OwnReads::default()
+        };
+        read_rounds += 1;
+        interval = send_to_peers(&cx, &socket, &in_flight, reads_to_send).await;
         last_in_flight = in_flight;
-        last_read = own_read;
-        let snapshot = cx.snapshot();
+        last_reads = own_reads;
         let known = |id: &str| snapshot.lists_endpoint(id);
         cx.placement.borrow_mut().retain_known(known, boot_clock::now());
         cx.pool.evict_idle(known);
@@ -73,9 +84,9 @@
     cx: &context::GatewayContext,
     socket: &UdpSocket,
     in_flight: &[(Arc<str>, u32)],
-    own_read: Option<confirmation::Confirmation>,
+    own_reads: peer_link::OwnReads,
 ) -> Duration {
-    let Some(datagram) = peer_link::encode(cx, in_flight.to_vec(), own_read, None) else {
+    let Some(datagram) = peer_link::encode(cx, in_flight.to_vec(), own_reads, None) else {
         return MAX_SEND_INTERVAL;
     };
     let snapshot = cx.snapshot();
@@ -92,7 +103,11 @@
 }
 
 /// Receives the datagrams of peers until the process exits.
-async fn receive(cx: Rc<context::GatewayContext>, socket: Rc<UdpSocket>, peer_reads: mpsc::Sender<control::PeerRead>) {
+async fn receive(
+    cx: Rc<context::GatewayContext>,
+    socket: Rc<UdpSocket>,
+    peer_reads: mpsc::Sender<peer_read::PeerRead>,
+) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let (len, from) = match socket.recv_from(&mut buf).await {
@@ -107,10 +122,14 @@
             Ok(message) => {
                 let now = boot_clock::now();
                 let same_domain = message.failure_domain == cx.settings.failure_domain;
-                if let Some(confirmation) = message.own_read.filter(|_| same_domain) {
-                    let instance = Arc::clone(&message.instance);
+                let has_read = message.own_read.is_some() || message.own_endpoint_read.is_some();
+                if same_domain && has_read {
                     // A read that is lost to a full queue is replaced by the next one.
-                    let _queued = peer_reads.try_send(control::PeerRead { instance, confirmation });
+                    let _queued = peer_reads.try_send(peer_read::PeerRead {
+                        instance: Arc::clone(&message.instance),
+                        declarations: message.own_read,
+                        endpoints: message.own_endpoint_read,
+                    });
                 }
                 cx.placement
                     .borrow_mut()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -102,7 +102,12 @@
         source,
     };
     let socket = Rc::new(UdpSocket::bind(peers_addr).await.map_err(bind)?);
-    tokio::task::spawn_local(peers::run(Rc::clone(&cx), Rc::clone(&socket), control.peer_reads));
+    tokio::task::spawn_local(peers::run(
+        Rc::clone(&cx),
+        Rc::clone(&socket),
+        control.peer_reads,
+        control.read_news,
+    ));
     tokio::task::spawn_local(fact_exchange::run(Rc::clone(&cx), socket, control.fact_rows));
     let accepting = tokio::task::spawn_local(server::accept(Rc::clone(&cx), cx.owed.clone(), callers, handle::handle));
     tokio::task::spawn_local(server::accept(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,10 @@
     pub table: SocketAddr,
     /// The longest time for which a revoked key may still be accepted.
     pub revocation_limit: Duration,
+    /// The time within which an endpoint that leaves gets no more requests, once the table holds that.
+    pub drain_limit: Duration,
+    /// The time within which new declarations are in force, once the table holds them.
+    pub change_limit: Duration,
     /// The time from the signal to stop until the platform kills the process.
     pub stop_grace: Duration,
     /// The retry budget over all instances.
@@ -56,6 +60,8 @@
     peers: Option<SocketAddr>,
     table: Option<SocketAddr>,
     revocation_limit: Duration,
+    drain_limit: Duration,
+    change_limit: Duration,
     stop_grace: Duration,
     retry_limit: retry_share::RetryLimit,
     stall_time: Duration,
@@ -73,6 +79,8 @@
             peers: None,
             table: None,
             revocation_limit: Duration::from_secs(5),
+            drain_limit: Duration::from_secs(2),
+            change_limit: Duration::from_secs(2),
             stop_grace: Duration::from_secs(8),
             retry_limit: retry_share::RetryLimit {
                 ratio: 0.2,
@@ -119,6 +127,20 @@
         self
     }
 
+    /// Sets the time within which an endpoint that leaves gets no more requests. The default is 2 s.
+    #[must_use]
+    pub fn drain_limit(mut self, limit: Duration) -> Self {
+        self.drain_limit = limit;
+        self
+    }
+
+    /// Sets the time within which new declarations are in force. The default is 2 s.
+    #[must_use]
+    pub fn change_limit(mut self, limit: Duration) -> Self {
+        self.change_limit = limit;
+        self
+    }
+
     /// Sets the time from the signal to stop until the platform kills the process. The default is 8 s.
     #[must_use]
     pub fn stop_grace(mut self, grace: Duration) -> Self {
@@ -169,6 +191,8 @@
             peers: self.peers.unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
             table: self.table.ok_or(SettingsError::Missing("table"))?,
             revocation_limit: nonzero("revocation_limit", self.revocation_limit)?,
+            drain_limit: nonzero("drain_limit", self.drain_limit)?,
+            change_limit: nonzero("change_limit", self.change_limit)?,
             stop_grace: nonzero("stop_grace", self.stop_grace)?,
             retry_limit: self.retry_limit,
             stall_time: nonzero("stall_time", self.stall_time)?,
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use sycamorestile_core::direct::{confirmation, declarations, endpoint, freshness, peer_rows, sharer_count};
+use sycamorestile_core::time;
 use sycamorestile_table::era;
 
 /// The declarations, endpoints and gateways at one moment.
@@ -14,8 +15,12 @@
     pub(crate) freshness: freshness::Freshness,
     /// This gateway's own last read of the declarations, which is sent to its peers.
     pub(crate) own_read: Option<confirmation::Confirmation>,
+    /// This gateway's own last read of the endpoints, which is sent to its peers.
+    pub(crate) own_endpoint_read: Option<confirmation::Confirmation>,
     /// The endpoints that accept requests, sorted by service, then by identifier.
     pub(crate) endpoints: Arc<Vec<Arc<endpoint::Endpoint>>>,
+    /// Up to when all changes of endpoints are known.
+    pub(crate) endpoints_confirmed_at: Option<time::Time>,
     /// Whether the endpoints were read at least once.
     pub(crate) endpoints_known: bool,
     /// The rows of gateways in the table that count, including this one's.
--- a/crates/map-agent/src/agent.rs
+++ b/crates/map-agent/src/agent.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
+use sycamorestile_core::direct::poll_timing;
 use sycamorestile_core::time::Time;
 use sycamorestile_expert_map::{held_switch, leadership, slowness_report};
-use sycamorestile_table::{adapter, boot_clock, era, feed, feed_event, rank_row, reader};
+use sycamorestile_table::{adapter, availability, boot_clock, era, feed, feed_event, rank_row, reader};
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
@@ -41,9 +42,10 @@
 /// Delay after a failed attempt to claim a leadership number, to read the map sizes or to read the rank's membership.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Timing of the feed of agents' rows.
-const AGENTS_TIMING: feed::PollTiming = feed::PollTiming {
-    max_wait: Duration::from_secs(25),
+const AGENTS_TIMING: poll_timing::PollTiming = poll_timing::PollTiming {
+    known_within: Duration::from_secs(34),
     batch_delay: Duration::from_millis(1_500),
+    need: poll_timing::Need::Background,
 };
 /// Size of the receive buffer, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
@@ -167,15 +169,11 @@
         let (tx, mut events) = mpsc::channel(QUEUE_CAPACITY);
         let topic = adapter::Topic::MapAgents;
         let eras = era::EraWatch::default();
-        let (_feed_control, control_rx) = feed::FeedControl::channel(AGENTS_TIMING);
-        tokio::task::spawn_local(feed::follow(
-            topic,
-            reader::Reader::new(self.settings.table, self.table_adapter, eras.clone()),
-            AGENTS_TIMING,
-            control_rx,
-            tx,
-            self.log.clone(),
-        ));
+        let availability = availability::AvailabilityWatch::new(Arc::clone(&self.settings.instance));
+        let reader = reader::Reader::new(self.settings.table, self.table_adapter, eras.clone());
+        let (_feed_control, feed) =
+            feed::Feed::new(topic, AGENTS_TIMING, reader, availability.clone(), self.log.clone());
+        tokio::task::spawn_local(feed.follow(tx));
         tokio::task::spawn_local(table_client::publish_row(
             self.settings.clone(),
             self.table_adapter,
@@ -190,6 +188,7 @@
                 event = events.recv() => {
                     if let Some((_, event)) = event {
                         self.on_feed_event(event);
+                        availability.set_sharers(self.peer_links.locations().count());
                     }
                 }
                 received = self.peer_links.socket.recv_from(&mut buf) => match received {
--- a/crates/table/src/feed.rs
+++ b/crates/table/src/feed.rs
@@ -2,67 +2,53 @@
 //!
 //! A feed starts with a full read and then long-polls for changes after that read's version. When changes may have been
 //! missed, because the table no longer has the history, a response can't be decoded or a new era of the table has begun, it
-//! starts over with a full read.
+//! starts over with a full read. A poll whose response may be lost is cancelled and repeated; the feeds of a process tell each
+//! other what they see of the table's availability.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
-use sycamorestile_core::direct::table_clock;
+use sycamorestile_core::direct::{poll_schedule, poll_timing, table_clock};
 use sycamorestile_core::time;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time as timer;
 
 use crate::adapter;
+use crate::availability;
 use crate::boot_clock;
+use crate::era;
 use crate::feed_event;
 use crate::position;
 use crate::reader;
 
-/// Delay after the first failed request. It doubles up to [`MAX_RETRY_DELAY`].
-const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Longest delay between retries. It is short so that new declarations take effect soon after the table recovers.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
-
 /// Delay of a read after another feed has seen a new era, so that reads don't follow each other without a pause if the table
 /// stops naming it.
 const ERA_READ_DELAY: Duration = Duration::from_millis(200);
+/// Time for which the response with a change that a peer has told of may be on its way. It doubles up to
+/// [`MAX_RESPONSE_GRACE`] with each read that lacks the change, since the table may respond with older rows.
+const RESPONSE_GRACE: Duration = Duration::from_millis(150);
+/// Longest of these times.
+const MAX_RESPONSE_GRACE: Duration = Duration::from_millis(1_200);
 
-/// Timing of a feed's polls.
-#[derive(Debug, Clone, Copy)]
-pub struct PollTiming {
-    /// Longest time for which the table is asked to wait for a change.
-    pub max_wait: Duration,
-    /// Delay after a response with changes, so that the next one returns several changes at once.
-    pub batch_delay: Duration,
+/// A change that a peer has read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KnownChange {
+    /// Era of the table, if it names eras.
+    pub era: Option<era::Era>,
+    /// Version of the change.
+    pub version: u64,
 }
 
 /// Handle that adjusts a running feed.
 #[derive(Debug)]
 pub struct FeedControl {
     wait: watch::Sender<Duration>,
-    read_now: Arc<Notify>,
-}
-
-/// Receiving half of a [`FeedControl`], which is passed to [`follow`].
-#[derive(Debug)]
-pub struct FeedControlReceiver {
-    wait: watch::Receiver<Duration>,
+    known_change: watch::Sender<KnownChange>,
     read_now: Arc<Notify>,
 }
 
 impl FeedControl {
-    /// Creates a handle and its receiving half, with `timing.max_wait` as the first wait.
-    pub fn channel(timing: PollTiming) -> (Self, FeedControlReceiver) {
-        let (tx, rx) = watch::channel(timing.max_wait);
-        let read_now = Arc::new(Notify::new());
-        let control = Self {
-            wait: tx,
-            read_now: Arc::clone(&read_now),
-        };
-        (control, FeedControlReceiver { wait: rx, read_now })
-    }
-
     /// Sets the longest time for which the table is asked to wait, from the next poll on.
     pub fn set_wait(&self, wait: Duration) {
         self.wait.send_if_modified(|current| {
@@ -76,116 +62,243 @@
     pub fn read_now(&self) {
         self.read_now.notify_one();
     }
+
+    /// Tells the feed of a change that a peer has read. If the feed lacks it, and its response is not on the way, it polls
+    /// again without waiting.
+    pub fn expect(&self, change: KnownChange) {
+        self.known_change.send_if_modified(|known| {
+            let is_newer = (change.era, change.version) > (known.era, known.version);
+            if is_newer {
+                *known = change;
+            }
+            is_newer
+        });
+    }
+}
+
+/// How a read ended.
+enum ReadEnd {
+    /// With a response or a failure.
+    Answered(Result<(adapter::RowPage, Option<era::Era>), reader::ReadError>),
+    /// It was cancelled, since it may be lost as all that was sent before this time.
+    Lost(time::Time),
+    /// It was cancelled in favour of one that doesn't wait.
+    ReadNow,
 }
 
-/// Follows `topic` and sends its events to `tx` until the receiver is dropped.
-pub async fn follow(
+/// A feed of one topic.
+#[derive(Debug)]
+pub struct Feed {
     topic: adapter::Topic,
-    mut reader: reader::Reader,
-    timing: PollTiming,
-    control: FeedControlReceiver,
-    tx: mpsc::Sender<(adapter::Topic, feed_event::FeedEvent)>,
+    timing: poll_timing::PollTiming,
+    reader: reader::Reader,
+    availability: availability::AvailabilityWatch,
+    schedule: poll_schedule::PollSchedule,
+    wait: watch::Receiver<Duration>,
+    known_change: watch::Receiver<KnownChange>,
+    read_now: Arc<Notify>,
+    position: position::Position,
+    clock: table_clock::TableClock,
+    response_grace: Duration,
+    /// Number of reads that failed in a row.
+    failed_reads: u32,
+    /// When the last of them was sent.
+    last_failed: time::Time,
     log: Logger,
-) {
-    let mut position = position::Position::default();
-    let mut retry_delay = INITIAL_RETRY_DELAY;
-    let mut unavailable = false;
-    // The reads that failed in a row, and when the last one of them was sent.
-    let mut failed_reads = 0_u32;
-    let mut last_failed = boot_clock::now();
-    let mut clock = table_clock::TableClock::default();
-    let mut read_requested = false;
-    loop {
-        let requested_at = boot_clock::now();
-        let mut wait = Duration::ZERO;
-        let result = match position.version() {
-            None => reader.read_all(topic).await,
-            Some(after) => {
-                let read_now = read_requested || clock.is_stale();
-                if !read_now {
-                    wait = *control.wait.borrow();
-                }
-                read_requested = false;
-                let eras = reader.eras().clone();
-                let reading = reader.read_changes(topic, after, wait);
-                tokio::select! {
-                    result = reading => result,
-                    // Cancelling the poll closes its connection, which is wanted: the connection may have stalled.
-                    () = control.read_now.notified(), if !wait.is_zero() => {
-                        read_requested = true;
-                        continue;
-                    }
-                    () = eras.newer_than(position.era), if position.era.is_some() && !wait.is_zero() => {
-                        timer::sleep(ERA_READ_DELAY).await;
-                        read_requested = true;
-                        continue;
-                    }
-                }
-            }
+}
+
+impl Feed {
+    /// Creates a feed, which begins to read in [`Self::follow`], and its handle.
+    pub fn new(
+        topic: adapter::Topic,
+        timing: poll_timing::PollTiming,
+        reader: reader::Reader,
+        availability: availability::AvailabilityWatch,
+        log: Logger,
+    ) -> (FeedControl, Self) {
+        let (wait_tx, wait) = watch::channel(timing.max_wait());
+        let (known_change_tx, known_change) = watch::channel(KnownChange::default());
+        let read_now = Arc::new(Notify::new());
+        let control = FeedControl {
+            wait: wait_tx,
+            known_change: known_change_tx,
+            read_now: Arc::clone(&read_now),
+        };
+        let name = format!("{}/{}", availability.instance(), topic.as_str());
+        let feed = Self {
+            topic,
+            timing,
+            reader,
+            availability,
+            schedule: poll_schedule::PollSchedule::new(Arc::from(name), timing),
+            wait,
+            known_change,
+            read_now,
+            position: position::Position::default(),
+            clock: table_clock::TableClock::default(),
+            response_grace: RESPONSE_GRACE,
+            failed_reads: 0,
+            last_failed: boot_clock::now(),
+            log,
         };
-        let (page, era) = match result {
-            Ok(read) => read,
-            Err(e) => {
-                if matches!(e, reader::ReadError::HistoryLost) {
-                    info!(log, "table no longer has the history after this version; starting over with a full read";
-                        "topic" => topic.as_str(), "after" => position.version());
-                    position.start_over();
+        (control, feed)
+    }
+
+    /// Follows the topic and sends its events to `tx` until the receiver is dropped.
+    pub async fn follow(mut self, tx: mpsc::Sender<(adapter::Topic, feed_event::FeedEvent)>) {
+        loop {
+            let longest_wait = *self.wait.borrow();
+            let mut wait = self.availability.next_read(&mut self.schedule, longest_wait).await;
+            if self.clock.is_stale() {
+                wait = Duration::ZERO;
+            }
+            let sent = boot_clock::now();
+            let events = match self.read(wait, sent).await {
+                ReadEnd::Answered(Ok((page, era))) => self.record_page(page, era, sent),
+                ReadEnd::Answered(Err(e)) => self.record_failure(&e, wait, sent).into_iter().collect(),
+                ReadEnd::Lost(lost_before) => {
+                    self.schedule.record_cancelled(lost_before);
                     continue;
                 }
-                if matches!(e, reader::ReadError::Decode(_)) {
-                    position.start_over();
+                ReadEnd::ReadNow => {
+                    self.schedule.read_now(boot_clock::now());
+                    continue;
                 }
-                failed_reads += 1;
-                last_failed = requested_at;
-                if !unavailable {
-                    warn!(log, "failed to read from the table; retrying"; "topic" => topic.as_str(),
-                        "addr" => %reader.addr(), "asked_wait_ms" => wait.as_millis() as u64,
-                        "sent_ms_ago" => elapsed_ms(requested_at), "error" => %e);
-                    unavailable = true;
-                    if tx.send((topic, feed_event::FeedEvent::Unavailable)).await.is_err() {
-                        return;
-                    }
+            };
+            let mut has_changes = false;
+            for event in events {
+                has_changes |= matches!(&event, feed_event::FeedEvent::Snapshot { rows, .. } | feed_event::FeedEvent::Changes { rows, .. } if !rows.is_empty());
+                if tx.send((self.topic, event)).await.is_err() {
+                    return;
                 }
-                timer::sleep(retry_delay).await;
-                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
-                continue;
             }
+            if has_changes {
+                timer::sleep(self.timing.batch_delay).await;
+            }
+        }
+    }
+
+    /// Reads once, and cancels a poll that is not worth waiting for. Cancelling closes its connection, which may have stalled.
+    async fn read(&mut self, wait: Duration, sent: time::Time) -> ReadEnd {
+        let eras = self.reader.eras().clone();
+        let position_era = self.position.era;
+        let missing = missing_change(&mut self.known_change, &self.position, self.response_grace);
+        let availability = self.availability.clone();
+        let Some(after) = self.position.version() else {
+            return tokio::select! {
+                result = self.reader.read_all(self.topic) => ReadEnd::Answered(result),
+                lost_before = availability.lost(sent) => ReadEnd::Lost(lost_before),
+            };
         };
-        let former = position.clone();
-        if position.enter(era) {
-            info!(log, "store era changed; starting over with a full read"; "topic" => topic.as_str(),
+        tokio::select! {
+            result = self.reader.read_changes(self.topic, after, wait) => ReadEnd::Answered(result),
+            lost_before = availability.lost(sent) => ReadEnd::Lost(lost_before),
+            () = self.read_now.notified(), if !wait.is_zero() => ReadEnd::ReadNow,
+            () = missing, if !wait.is_zero() => ReadEnd::ReadNow,
+            () = eras.newer_than(position_era), if position_era.is_some() && !wait.is_zero() => {
+                timer::sleep(ERA_READ_DELAY).await;
+                ReadEnd::ReadNow
+            }
+        }
+    }
+
+    /// Records the response to a read that was sent at `sent`, and returns the events to pass on.
+    fn record_page(
+        &mut self,
+        page: adapter::RowPage,
+        era: Option<era::Era>,
+        sent: time::Time,
+    ) -> Vec<feed_event::FeedEvent> {
+        let now = boot_clock::now();
+        let has_returned = self
+            .availability
+            .record(|table| self.schedule.record_answer(table, sent, now));
+        if has_returned {
+            info!(self.log, "table answers again; repeating what may be lost"; "topic" => self.topic.as_str());
+        }
+        let former = self.position.clone();
+        if self.position.enter(era) {
+            info!(self.log, "store era changed; starting over with a full read"; "topic" => self.topic.as_str(),
                 "former" => former.era.map(|e| e.0), "era" => era.map(|e| e.0), "version" => page.version,
                 "after" => former.version());
             if former.version().is_some() {
-                continue;
+                return Vec::new();
             }
         }
-        retry_delay = INITIAL_RETRY_DELAY;
-        if unavailable {
-            info!(log, "table is available again"; "topic" => topic.as_str(), "version" => page.version,
-                "failed_reads" => failed_reads, "last_failed_sent_ms_ago" => elapsed_ms(last_failed),
-                "sent_ms_ago" => elapsed_ms(requested_at));
-            unavailable = false;
-            failed_reads = 0;
-            if tx.send((topic, feed_event::FeedEvent::Recovered)).await.is_err() {
-                return;
-            }
+        let mut events = Vec::new();
+        if self.failed_reads > 0 {
+            info!(self.log, "table is available again"; "topic" => self.topic.as_str(), "version" => page.version,
+                "failed_reads" => self.failed_reads, "last_failed_sent_ms_ago" => elapsed_ms(self.last_failed),
+                "sent_ms_ago" => elapsed_ms(sent));
+            self.failed_reads = 0;
+            events.push(feed_event::FeedEvent::Recovered);
         }
-        let has_changes = !page.rows.is_empty();
         let as_of = page
             .clock
-            .map_or(requested_at, |reading| clock.to_local_time(requested_at, reading));
-        let event = position.advance(page, as_of);
-        if tx.send((topic, event)).await.is_err() {
-            return;
+            .map_or(sent, |reading| self.clock.to_local_time(sent, reading));
+        events.push(self.position.advance(page, as_of));
+        self.response_grace = if lacks(&self.known_change.borrow(), &self.position) {
+            (self.response_grace * 2).min(MAX_RESPONSE_GRACE)
+        } else {
+            RESPONSE_GRACE
+        };
+        events
+    }
+
+    /// Records the failure of a read that was sent at `sent` and asked the table for `wait`, and returns the event for it if it
+    /// is the first one.
+    fn record_failure(
+        &mut self,
+        error: &reader::ReadError,
+        wait: Duration,
+        sent: time::Time,
+    ) -> Option<feed_event::FeedEvent> {
+        let now = boot_clock::now();
+        if matches!(error, reader::ReadError::HistoryLost) {
+            self.availability
+                .record(|table| self.schedule.record_answer(table, sent, now));
+            info!(self.log, "table no longer has the history after this version; starting over with a full read";
+                "topic" => self.topic.as_str(), "after" => self.position.version());
+            self.position.start_over();
+            return None;
+        }
+        if matches!(error, reader::ReadError::Decode(_)) {
+            self.position.start_over();
         }
-        if has_changes {
-            timer::sleep(timing.batch_delay).await;
+        let failure = error.kind(wait);
+        let has_gone = self
+            .availability
+            .record(|table| self.schedule.record_failure(table, failure, sent, now));
+        self.failed_reads += 1;
+        self.last_failed = sent;
+        if self.failed_reads > 1 {
+            return None;
         }
+        warn!(self.log, "failed to read from the table; retrying"; "topic" => self.topic.as_str(),
+            "addr" => %self.reader.addr(), "asked_wait_ms" => wait.as_millis() as u64,
+            "sent_ms_ago" => elapsed_ms(sent), "begins_outage" => has_gone, "error" => %error);
+        Some(feed_event::FeedEvent::Unavailable)
+    }
+}
+
+/// Returns whether `change` was not read yet.
+fn lacks(change: &KnownChange, position: &position::Position) -> bool {
+    change.era == position.era && position.version().is_some_and(|version| version < change.version)
+}
+
+/// Waits until a change is known that was not read yet, and for the time in which its response may arrive.
+async fn missing_change(
+    known_change: &mut watch::Receiver<KnownChange>,
+    position: &position::Position,
+    response_grace: Duration,
+) {
+    if known_change.wait_for(|change| lacks(change, position)).await.is_err() {
+        // Nobody tells of changes any more.
+        std::future::pending::<()>().await;
     }
+    timer::sleep(response_grace).await;
 }
 
-/// Returns how long ago `since` was, in milliseconds.
 fn elapsed_ms(since: time::Time) -> u64 {
     boot_clock::now().since(since).as_millis() as u64
 }
--- a/crates/table/src/feed_event.rs
+++ b/crates/table/src/feed_event.rs
@@ -1,8 +1,6 @@
 //! What a feed tells its reader.
 
-use std::time::Duration;
-
-use sycamorestile_core::time;
+use sycamorestile_core::direct::topic_relay;
 
 use crate::adapter;
 
@@ -13,19 +11,15 @@
     Snapshot {
         /// Whether this is the first read of an era, in which rows may be missing that are about to be written again.
         is_restored: bool,
-        /// Local time up to which all changes of the table are included.
-        as_of: time::Time,
-        /// Reading of the table's clock at `as_of` or later.
-        clock: Option<Duration>,
+        /// Up to when the rows are complete.
+        read: topic_relay::TopicRead,
         /// The rows.
         rows: Vec<adapter::Row>,
     },
     /// Changes since the previous event, possibly none.
     Changes {
-        /// Local time up to which all changes of the table are included.
-        as_of: time::Time,
-        /// Reading of the table's clock at `as_of` or later.
-        clock: Option<Duration>,
+        /// Up to when the changes are complete.
+        read: topic_relay::TopicRead,
         /// The changes, in order.
         rows: Vec<adapter::Row>,
     },
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`boot_clock`], the logger in [`log`] and the format of the rows of ranks in [`rank_row`].
 
 pub mod adapter;
+pub mod availability;
 pub mod boot_clock;
 pub mod client;
 pub mod era;
--- a/crates/table/src/reader.rs
+++ b/crates/table/src/reader.rs
@@ -3,16 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sycamorestile_core::direct::{poll_schedule, poll_timing};
 use thiserror::Error;
 
 use crate::adapter;
 use crate::client;
 use crate::era;
 
-/// Timeout of a request, in addition to the time for which it asks the table to wait. A slow table takes 250 ms to
-/// respond.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Error of a read.
 #[derive(Debug, Error)]
 pub(crate) enum ReadError {
@@ -27,6 +24,17 @@
     Decode(#[from] adapter::DecodeError),
 }
 
+impl ReadError {
+    /// Returns what the failure of a read that asked the table for `wait` says of the table.
+    pub(crate) fn kind(&self, wait: Duration) -> poll_schedule::ReadFailure {
+        match self {
+            Self::Call(client::CallError::TimedOut) if !wait.is_zero() => poll_schedule::ReadFailure::LostPoll,
+            Self::Call(_) => poll_schedule::ReadFailure::Failed,
+            Self::HistoryLost | Self::Decode(_) => poll_schedule::ReadFailure::Undecodable,
+        }
+    }
+}
+
 /// Reads rows and changes over one connection.
 #[derive(Debug)]
 pub struct Reader {
@@ -60,12 +68,12 @@
         topic: adapter::Topic,
     ) -> Result<(adapter::RowPage, Option<era::Era>), ReadError> {
         let path = (self.adapter.read_path)(topic, None);
-        let (mut all, era) = self.read_page(&path, CALL_TIMEOUT).await?;
+        let (mut all, era) = self.read_page(&path, poll_timing::CALL_TIMEOUT).await?;
         while all.has_more
             && let Some(last) = all.rows.last()
         {
             let path = (self.adapter.read_path)(topic, Some(&last.key));
-            let (page, _) = self.read_page(&path, CALL_TIMEOUT).await?;
+            let (page, _) = self.read_page(&path, poll_timing::CALL_TIMEOUT).await?;
             all.has_more = page.has_more && !page.rows.is_empty();
             all.rows.extend(page.rows);
         }
@@ -81,7 +89,7 @@
     ) -> Result<(adapter::RowPage, Option<era::Era>), ReadError> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let path = (self.adapter.follow_path)(topic, after, wait_ms);
-        self.read_page(&path, wait + CALL_TIMEOUT).await
+        self.read_page(&path, wait + poll_timing::CALL_TIMEOUT).await
     }
 
     async fn read_page(
