Tests of responses that break off or go silent in their heads

For each status, framing, kind of request, way of ending and kind of connection a stand-in stops after each byte of its response, or next to each end of a line. A caller gets a 502, or a stream that ends incomplete, never a success, a promise that the request has not run, or the endpoint's signature; a booking runs once.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod bookings;
 mod chaos;
 mod crashing_calls;
+mod cut_heads;
 mod draining;
 mod end_to_end;
 mod module_circles;
