Responses on their way to slow callers are bounded in memory

Cause: the reservation for large responses ended when they had been read; what waited for its caller was counted by nobody. Sixty callers of 7.5 MB made a gateway take 438 MB, four hundred of 2 MB 785 MB, where 160 MB are the smallest instance's.

Ruled out: the kernel's buffers (the case measures the process), and the growth of buffers as a cause of its own.

Change: an account of what responses take until the HTTP library writes them, in blocks that are freed as the caller reads. From 32 MB on large responses are forwarded while they are read; from 64 MB on organisations with more than an eighth get 503 bodies-full before any work, from 72 MB on requests to routes with large responses, from 80 MB on all. Room for a large response is set aside when its request is accepted.

Left: agents account for complete responses, not for those that they write.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -44,6 +44,7 @@
 pub mod rate_limits;
 pub mod request_content;
 pub mod response_class;
+pub mod response_room;
 pub mod response_time;
 pub mod restrictions;
 pub mod retry_share;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use slog::info;
-use sycamorestile_core::direct::{access, attempts, crash_evidence, endpoint, response_class, route};
+use sycamorestile_core::direct::{access, attempts, crash_evidence, endpoint, response_class, response_room, route};
 use sycamorestile_core::problem;
 use sycamorestile_table::boot_clock;
 use tokio::time;
@@ -20,16 +20,12 @@
 use crate::header_adapter;
 use crate::pool;
 use crate::request;
-use crate::reservation;
+use crate::response_account;
 use crate::response_body;
 use crate::withdrawal;
 
-/// The largest response that is buffered whole, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// The size up to which every response is buffered, in bytes. Larger ones share [`MAX_BUFFERED_BYTES`].
-const SMALL_RESPONSE_BYTES: usize = 64 << 10;
-/// The largest number of bytes that all larger responses together may buffer.
-const MAX_BUFFERED_BYTES: usize = 32 << 20;
+/// The largest response that is no stream, in bytes.
+pub(crate) const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// The largest body of a refusal that is read, in bytes. The connection of a larger one is closed.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// How long the body of a refusal is read.
@@ -63,6 +59,8 @@
     Stream(Box<OpenStream>),
     /// The endpoint sent a complete response.
     Response(Box<Response<response_body::ResponseBody>>),
+    /// The endpoint started a response that there is no room to read completely.
+    OpenResponse(Box<OpenResponse>),
     /// The attempt gave no response to forward.
     Failed {
         /// The step that follows the failure.
@@ -83,9 +81,33 @@
     pub(crate) slot: request::EndpointSlot,
 }
 
+/// A response that was read in part.
+pub(crate) struct OpenResponse {
+    pub(crate) parts: http::response::Parts,
+    /// What was read.
+    pub(crate) blocks: Vec<response_account::Block>,
+    /// What is still to be read.
+    pub(crate) body: Incoming,
+    /// What reading and writing it takes.
+    pub(crate) share: response_account::Share,
+    pub(crate) head: header_adapter::ResponseHead,
+    pub(crate) lease: pool::Lease,
+    pub(crate) slot: request::EndpointSlot,
+    pub(crate) ends_with_connection: bool,
+}
+
+/// How far the body of a response was read.
+enum ReadBody {
+    Whole(Vec<response_account::Block>),
+    /// There is no room for the rest.
+    Part(Vec<response_account::Block>, Incoming, response_account::Share),
+    /// It broke off, is too large or was not complete by the deadline.
+    Broken,
+}
+
 /// Sends the request to one endpoint that was not tried before.
 ///
-/// Responses that are not streams are read completely.
+/// Responses that are not streams are read completely if there is room for that.
 ///
 /// # Errors
 ///
@@ -325,15 +347,7 @@
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
         withdrawal::record(cx, req_cx.call.id(), &slot.endpoint, head.notice, now);
     }
-    let is_new_limit = cx
-        .restrictions
-        .borrow_mut()
-        .rate_limits
-        .record(&id, head.rate_limit, now);
-    if is_new_limit {
-        info!(cx.log, "endpoint changed its rate limit"; "endpoint" => id.as_ref(), "per_second" => head.rate_limit);
-        cx.fact_news.notify_one();
-    }
+    record_rate_limit(cx, &id, &head);
     match response_class::classify(facts) {
         response_class::ResponseClass::Untrusted => {
             cx.placement.borrow_mut().record_failure(&id, now);
@@ -363,21 +377,26 @@
         }
         class => {
             let ends_with_connection = ends_with_connection(&parts.headers, &body);
-            let Some(bytes) = read_body(cx, req_cx, body).await else {
-                cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
-                let next = req_cx.attempts.lost();
-                req_cx
-                    .examine_broken_response(cx, &slot.endpoint, crash_watch::Progress::default())
-                    .await;
-                return Ok(failed(next, "answer broke off"));
+            let blocks = match read_body(cx, req_cx, body).await {
+                ReadBody::Whole(blocks) => blocks,
+                ReadBody::Part(blocks, body, share) if class == response_class::ResponseClass::Response => {
+                    return Ok(AttemptResult::OpenResponse(Box::new(OpenResponse {
+                        parts,
+                        blocks,
+                        body,
+                        share,
+                        head,
+                        lease,
+                        slot,
+                        ends_with_connection,
+                    })));
+                }
+                ReadBody::Part(..) | ReadBody::Broken => {
+                    return Ok(broken_off(cx, req_cx, &slot.endpoint, "answer broke off").await);
+                }
             };
             if ends_with_connection && pool::Pool::refuses_connections(&slot.endpoint).await {
-                cx.placement.borrow_mut().record_failure(&id, boot_clock::now());
-                let next = req_cx.attempts.lost();
-                req_cx
-                    .examine_broken_response(cx, &slot.endpoint, crash_watch::Progress::default())
-                    .await;
-                return Ok(failed(next, "endpoint crashed"));
+                return Ok(broken_off(cx, req_cx, &slot.endpoint, "endpoint crashed").await);
             }
             release_connection(lease, &parts.headers, &head);
             if class == response_class::ResponseClass::Response {
@@ -385,12 +404,16 @@
                 crash_watch::record_proof(cx, &req_cx.call);
                 return Ok(AttemptResult::Response(Box::new(caller_response(
                     parts,
-                    response_body::ResponseBody::whole(bytes),
+                    response_body::ResponseBody::blocks(blocks, None),
                 ))));
             }
             let next = req_cx.attempts.failed();
-            let failure = (class == response_class::ResponseClass::Failed)
-                .then(|| Box::new(caller_response(parts, response_body::ResponseBody::whole(bytes))));
+            let failure = (class == response_class::ResponseClass::Failed).then(|| {
+                Box::new(caller_response(
+                    parts,
+                    response_body::ResponseBody::blocks(blocks, None),
+                ))
+            });
             Ok(AttemptResult::Failed {
                 next,
                 why: "failed at the endpoint",
@@ -400,6 +423,36 @@
     }
 }
 
+/// Records the rate limit that a response of the endpoint `id` names.
+fn record_rate_limit(cx: &context::GatewayContext, id: &Arc<str>, head: &header_adapter::ResponseHead) {
+    let is_new = cx
+        .restrictions
+        .borrow_mut()
+        .rate_limits
+        .record(id, head.rate_limit, boot_clock::now());
+    if is_new {
+        info!(cx.log, "endpoint changed its rate limit"; "endpoint" => id.as_ref(), "per_second" => head.rate_limit);
+        cx.fact_news.notify_one();
+    }
+}
+
+/// Returns the result of an attempt whose response `endpoint` broke off, after it was asked whether it crashed.
+async fn broken_off(
+    cx: &Rc<context::GatewayContext>,
+    req_cx: &mut request::RequestContext,
+    endpoint: &Arc<endpoint::Endpoint>,
+    why: &'static str,
+) -> AttemptResult {
+    cx.placement
+        .borrow_mut()
+        .record_failure(&endpoint.id, boot_clock::now());
+    let next = req_cx.attempts.lost();
+    req_cx
+        .examine_broken_response(cx, endpoint, crash_watch::Progress::default())
+        .await;
+    failed(next, why)
+}
+
 /// Reads the body of a refusal, so that its connection can be used again. The request does not wait for that, since the
 /// body may never end.
 async fn discard_refusal(lease: pool::Lease, headers: HeaderMap, head: header_adapter::ResponseHead, body: Incoming) {
@@ -409,28 +462,42 @@
     }
 }
 
-/// Reads the whole body, or returns `None` if it breaks off, is too large or is not complete by the deadline.
-async fn read_body(
-    cx: &context::GatewayContext,
-    req_cx: &request::RequestContext,
-    mut body: Incoming,
-) -> Option<Bytes> {
+/// Reads the body, as far as there is room for it.
+async fn read_body(cx: &context::GatewayContext, req_cx: &mut request::RequestContext, mut body: Incoming) -> ReadBody {
     let remaining = req_cx.call.deadline.since(boot_clock::now());
+    let reserved = req_cx.response_share.take();
+    let organisation = req_cx.call.organisation();
+    let mut blocks = response_account::Blocks::new(&cx.response_account, organisation);
     let reading = async {
-        let mut bytes = BytesMut::new();
-        let mut reservation = reservation::Reservation::new(&cx.buffered_bytes);
+        let known_len = body.size_hint().exact().map(|len| len as usize);
+        let share = match reserved {
+            Some(share) => share,
+            None => cx.response_account.wait_for_room(organisation, known_len).await,
+        };
+        let mut len = 0;
         while let Some(frame) = body.frame().await {
-            let frame = frame.ok()?;
-            bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d.as_ref()));
-            let is_within_budget =
-                reservation.grow_to(bytes.len().saturating_sub(SMALL_RESPONSE_BYTES), MAX_BUFFERED_BYTES);
-            if bytes.len() > MAX_RESPONSE_BYTES || !is_within_budget {
+            let Ok(frame) = frame else { return None };
+            let data = frame.data_ref().map_or(&[][..], |d| d.as_ref());
+            blocks.push(data);
+            len += data.len();
+            if len > MAX_RESPONSE_BYTES {
                 return None;
             }
+            if !response_room::is_small(Some(len)) {
+                cx.response_account
+                    .record_large(&req_cx.call.grant.route.name, boot_clock::now());
+            }
+            if !response_room::reads_whole(len, cx.response_account.held(None).total) {
+                return Some(Some(share));
+            }
         }
-        Some(bytes.freeze())
+        Some(None)
     };
-    time::timeout(remaining, reading).await.ok().flatten()
+    match time::timeout(remaining, reading).await.ok().flatten() {
+        Some(None) => ReadBody::Whole(blocks.into_blocks()),
+        Some(Some(share)) => ReadBody::Part(blocks.into_blocks(), body, share),
+        None => ReadBody::Broken,
+    }
 }
 
 /// Returns whether the end of a body is only known by the end of its connection, so that a crash of the endpoint looks
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -19,6 +19,7 @@
 use crate::header_adapter;
 use crate::metrics;
 use crate::pool;
+use crate::response_account;
 use crate::service_map;
 use crate::settings;
 use crate::snapshot;
@@ -50,8 +51,8 @@
     pub(crate) pool: pool::Pool,
     pub(crate) rng: RefCell<ChaCha8Rng>,
     pub(crate) metrics: metrics::Metrics,
-    /// The number of bytes of larger responses that are buffered.
-    pub(crate) buffered_bytes: Rc<Cell<usize>>,
+    /// The responses that wait for their callers.
+    pub(crate) response_account: Rc<response_account::ResponseAccount>,
     /// The number of bytes of larger request bodies that are buffered.
     pub(crate) request_body_bytes: Rc<Cell<usize>>,
     /// What the callers of this instance are owed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,7 @@
 //! ```text
 //! caller ─HTTP─► server ─► handle ─► proxy ─► attempt ─► pool ─HTTP─► endpoint
 //!                            │         │          │
-//!                            │         └─► stream_forwarder ─► crash_watch
+//!                            │         └─► stream_forwarder, response_forwarder ─► crash_watch
 //!                            ▼                                     │
 //!                        snapshot        peers, fact_exchange ◄───┘ ◄─UDP─► other gateways
 //!                            ▲                 ▲
@@ -23,8 +23,9 @@
 //!                          feed ─HTTP─► the platform's table
 //! ```
 //!
-//! A request passes from `handle`, which reads and authorizes it, to `proxy`, which chooses the next step, and to `attempt` or
-//! `stream_forwarder`; its state is `request::RequestContext`. Modules import each other downwards only, which a test checks.
+//! A request passes from `handle`, which reads and authorizes it, to `proxy`, which chooses the next step, and to `attempt`. A stream
+//! goes on to `stream_forwarder`, a response that there is no room to read completely to `response_forwarder`. The state of a
+//! request is `request::RequestContext`. Modules import each other downwards only, which a test checks.
 //!
 //! The names and formats of the platform are passed in as plain functions: [`header_adapter`] for the headers of
 //! callers and endpoints, `sycamorestile_table::adapter` for the table. All decisions are made by
@@ -52,7 +53,9 @@
 mod refuse;
 mod request;
 mod reservation;
+mod response_account;
 mod response_body;
+mod response_forwarder;
 mod run;
 mod server;
 mod service_map;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,8 @@
     leaving_endpoints: Gauge,
     table_era: Gauge,
     endpoint_list_age: Gauge,
+    held_response_bytes: Gauge,
+    open_responses: Counter,
     forgotten_withdrawals: Counter,
     /// The organisations with their own label, sorted.
     organisations: RefCell<Vec<Arc<str>>>,
@@ -140,6 +142,16 @@
                 "Requests refused because no endpoint takes requests from this instance, by cause",
             ),
             pauses: new(&mut registry, "endpoint_pauses", "Pauses that endpoints have asked for"),
+            held_response_bytes: new(
+                &mut registry,
+                "held_response_bytes",
+                "Bytes of responses that wait for their callers",
+            ),
+            open_responses: new(
+                &mut registry,
+                "open_responses",
+                "Responses that were forwarded while they were read, for want of room",
+            ),
             table_era: new(
                 &mut registry,
                 "table_era",
@@ -221,6 +233,16 @@
         self.quarantined_requests.set(count as i64);
     }
 
+    /// Sets the number of bytes of responses that wait for their callers.
+    pub(crate) fn set_held_response_bytes(&self, count: usize) {
+        self.held_response_bytes.set(count as i64);
+    }
+
+    /// Counts a response that is forwarded while it is read.
+    pub(crate) fn record_open_response(&self) {
+        self.open_responses.inc();
+    }
+
     /// Counts a request that tests a quarantine.
     pub(crate) fn record_test(&self) {
         self.quarantine_tests.inc();
--- a/crates/gateway/src/monitoring.rs
+++ b/crates/gateway/src/monitoring.rs
@@ -23,6 +23,7 @@
             if let Some(at) = cx.snapshot().endpoints_confirmed_at {
                 cx.metrics.set_endpoint_list_age(boot_clock::now().since(at));
             }
+            cx.metrics.set_held_response_bytes(cx.response_account.held(None).total);
             (StatusCode::OK, cx.metrics.text())
         }
         _ => (StatusCode::NOT_FOUND, "see /readyz, /healthz, /metrics\n".to_owned()),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -21,6 +21,9 @@
 use tokio::time as timer;
 use xxhash_rust::xxh3;
 
+/// The largest buffer for what an endpoint has sent, in bytes. Bounds the head of a response, and what a connection holds of a response
+/// whose caller reads slowly.
+const READ_BUFFER_BYTES: usize = 64 << 10;
 /// The timeout of a connection attempt. Endpoints are a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long an idle connection is kept if the endpoint states no time.
@@ -166,7 +169,10 @@
         // A zero linger time discards data that the endpoint has not read when the connection is closed. Otherwise, an
         // endpoint that was suspended could later run a request that the gateway has already abandoned.
         let _reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, driver) = handshake.map_err(|_closed| ConnectError::Refused)?;
         let driver = tokio::task::spawn_local(async move {
             // The request that uses the connection sees the error too.
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use http::Response;
-use sycamorestile_core::direct::{admission, attempts, outage};
+use sycamorestile_core::direct::{admission, attempts, outage, response_room};
 use sycamorestile_core::problem;
 use sycamorestile_table::boot_clock;
 use tokio::time;
@@ -19,7 +19,9 @@
 use crate::crash_watch;
 use crate::refuse;
 use crate::request;
+use crate::response_account;
 use crate::response_body;
+use crate::response_forwarder;
 use crate::stream_forwarder;
 use crate::withdrawal;
 
@@ -39,6 +41,7 @@
         needs_fresh_connection: false,
         endpoint_crashed: false,
         test: None,
+        response_share: None,
         detail: String::new(),
         first_byte_after: None,
         longest_pause: Duration::ZERO,
@@ -46,12 +49,17 @@
         cx: Rc::clone(cx),
         call,
     };
-    let admitted = match admit(cx, &req_cx.call) {
-        Some(problem) => Err(problem),
-        None => crash_watch::admit(cx, &req_cx.call),
-    };
+    let admitted = set_room_aside(cx, &req_cx.call).and_then(|share| {
+        if let Some(problem) = admit(cx, &req_cx.call) {
+            return Err(problem);
+        }
+        Ok((crash_watch::admit(cx, &req_cx.call)?, share))
+    });
     match admitted {
-        Ok(test) => req_cx.test = test,
+        Ok((test, share)) => {
+            req_cx.test = test;
+            req_cx.response_share = share;
+        }
         Err(problem) => {
             req_cx.detail.clone_from(&problem.detail);
             return request::finish(cx, &req_cx, refuse::response(cx, &problem), problem.kind.slug());
@@ -78,6 +86,9 @@
                 let response = stream_forwarder::start(cx, req_cx, *open, last_event_id.take());
                 return response;
             }
+            Ok(attempt::AttemptResult::OpenResponse(open)) => {
+                return response_forwarder::start(cx, req_cx, *open);
+            }
             Ok(attempt::AttemptResult::Failed { next, why, failure }) => {
                 req_cx.attempt_failed(cx, why, next);
                 endpoint_failure = failure.or(endpoint_failure);
@@ -115,6 +126,24 @@
     }
 }
 
+/// Sets room aside for the response if it is expected to be large. Returns the problem to report if there is no room for it.
+fn set_room_aside(
+    cx: &context::GatewayContext,
+    call: &call::Call,
+) -> Result<Option<response_account::Share>, problem::Problem> {
+    let organisation = call.organisation();
+    let is_large = cx
+        .response_account
+        .expects_large(&call.grant.route.name, boot_clock::now());
+    if !response_room::has_room(cx.response_account.held(organisation), is_large) {
+        return Err(refuse::problem(cx, problem::ProblemKind::BodiesFull));
+    }
+    Ok(is_large.then(|| {
+        let len = response_room::OPEN_RESPONSE_BYTES;
+        response_account::Share::new(&cx.response_account, organisation, len)
+    }))
+}
+
 /// Checks whether the service has capacity for a stream, and returns the problem to report if it has none.
 ///
 /// Requests to routes of other kinds are always admitted.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,6 +16,7 @@
 use crate::context;
 use crate::crash_watch;
 use crate::refuse;
+use crate::response_account;
 use crate::response_body;
 
 /// The `Retry-After` of a refusal while a whole service is unavailable. Groups take seconds to recover, and a request
@@ -54,6 +55,8 @@
     pub(crate) endpoint_crashed: bool,
     /// Present if the request tests a quarantine.
     pub(crate) test: Option<crash_watch::Test>,
+    /// What is set aside for a large response, until it is read.
+    pub(crate) response_share: Option<response_account::Share>,
     /// The reason for a refusal before the first attempt.
     pub(crate) detail: String,
     /// The time from the start of the request to the head of a streamed response.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -89,7 +89,7 @@
         pool: pool::Pool::default(),
         rng: RefCell::new(rand::make_rng::<ChaCha8Rng>()),
         metrics: metrics::Metrics::new(),
-        buffered_bytes: Rc::default(),
+        response_account: Rc::default(),
         request_body_bytes: Rc::default(),
         owed: owed_counts::OwedCounts::default(),
         stop_phase,
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -365,7 +365,7 @@
                         is_proved: false,
                     });
                 }
-                attempt::AttemptResult::Response(_) => return None,
+                attempt::AttemptResult::Response(_) | attempt::AttemptResult::OpenResponse(_) => return None,
                 attempt::AttemptResult::Failed {
                     next: next_attempt,
                     why,
