A gateway that starts asks others which declarations they have accepted before it honours keys

Cause: a gateway honours keys once a read of its own confirms the declarations, and a first read has nothing to be compared with.

Ruled out: that a peer's newer version counts as a confirmation of the older one.

Change: a starting gateway asks three random peers with each round of datagrams, and relies on its reads when one that has run for a while has answered, three that start as well agree, it is alone, or nobody has answered for a second. A read that shows an older version than a peer had accepted before takes back what was confirmed.

Tests: gateway_that_starts_after_a_restoration_does_not_honour_a_revoked_key fails on and passes in three runs; six of the pure decision; gateways_that_start_together_serve_at_once (ready within 0.9 s, passed before too); the one that nobody answers relies on the table, which a test says. The first form took a count of no gateways before the list was read for being alone; the process test found it.

--- a/crates/core/src/direct/freshness.rs
+++ b/crates/core/src/direct/freshness.rs
@@ -26,6 +26,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(as_of));
     }
 
+    /// Records that the declarations in force are known not to be the newest.
+    pub fn refute(&mut self) {
+        self.confirmed_at = None;
+    }
+
     /// Returns the age of the last confirmation, or `None` before the first one.
     pub fn age(&self, now: time::Time) -> Option<Duration> {
         self.confirmed_at.map(|at| now.since(at))
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -11,6 +11,7 @@
 //!                                                           retry_share ◄──────┘
 //! ```
 
+pub mod accepted_versions;
 pub mod access;
 pub mod admission;
 pub mod attempts;
--- a/crates/gateway/src/control_state.rs
+++ b/crates/gateway/src/control_state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
-use sycamorestile_core::direct::{confirmation, endpoint, endpoint_set, topic_relay};
+use sycamorestile_core::direct::{accepted_versions, confirmation, endpoint, endpoint_set, freshness, topic_relay};
 use sycamorestile_core::time;
 use sycamorestile_table::{adapter, availability, boot_clock, era, feed, feed_event, rank_row};
 
@@ -29,6 +29,8 @@
     snapshot: snapshot::Snapshot,
     /// The times at which this gateway and its peers read the declarations.
     confirmations: confirmation::ConfirmationWatch,
+    /// The versions of the declarations that peers have accepted.
+    accepted: accepted_versions::AcceptedVersions,
     /// The interval at which a reader reads the declarations.
     reader_interval: Duration,
     /// What this gateway and its peers have read of the endpoints.
@@ -69,6 +71,7 @@
             instance: Arc::clone(&settings.instance),
             own_addrs: vec![settings.callers, settings.monitoring, settings.table],
             confirmations: confirmation::ConfirmationWatch::new(Arc::clone(&settings.instance), reader_interval),
+            accepted: accepted_versions::AcceptedVersions::default(),
             reader_interval,
             endpoint_relay: topic_relay::TopicRelay::new(Arc::clone(&settings.instance), endpoint_interval),
             endpoint_interval,
@@ -92,6 +95,8 @@
         snapshot::Snapshot {
             era: self.eras.newest(),
             endpoints_confirmed_at: self.endpoint_relay.confirmed_at(),
+            asks_until: self.accepted.asks_until(),
+            is_starting: !self.accepted.may_rely(boot_clock::now()),
             ..self.snapshot.clone()
         }
     }
@@ -155,9 +160,9 @@
                     let is_listed = |instance: &str| rows.iter().any(|row| row.key.as_ref() == instance);
                     Arc::make_mut(&mut self.snapshot.gateways).retain(is_listed);
                 }
+                let were_known = std::mem::replace(&mut self.snapshot.gateways_known, true);
                 self.update_gateways(&rows);
-                if !self.snapshot.gateways_known {
-                    self.snapshot.gateways_known = true;
+                if !were_known {
                     info!(self.log, "gateways read"; "known" => rows.len());
                 }
             }
@@ -194,6 +199,10 @@
     /// Applies what another gateway has read.
     pub(crate) fn record_peer_read(&mut self, read: &peer_read::PeerRead) {
         let now = boot_clock::now();
+        if let Some(told) = read.accepted {
+            self.accepted.record_peer(&read.instance, told, now);
+            self.read_once_reliable(now);
+        }
         if let Some(told) = read.endpoints {
             self.eras.observe(told.era.map(era::Era));
             if let Some(version) = self.endpoint_relay.record_peer(&read.instance, &told, now) {
@@ -206,6 +215,14 @@
         }
     }
 
+    /// Reads the declarations again when those that were read may be relied on from now on, and were not confirmed yet.
+    fn read_once_reliable(&mut self, now: time::Time) {
+        let is_unconfirmed = self.snapshot.declared.is_some() && self.snapshot.freshness.age(now).is_none();
+        if is_unconfirmed && self.accepted.may_rely(now) && self.confirmations.should_read(None, true, now) {
+            self.feeds.declarations.read_now();
+        }
+    }
+
     /// Applies another gateway's read of the declarations.
     ///
     /// A read of the same version confirms the active declarations. A read of a newer version triggers a read here.
@@ -221,7 +238,7 @@
         let Some(version) = self.snapshot.declared.as_ref().map(|d| d.version) else {
             return;
         };
-        if confirmation.version == version {
+        if confirmation.version == version && self.accepted.newest().is_none_or(|newest| newest <= version) {
             let reading = Duration::from_millis(confirmation.table_ms);
             if let Some(as_of) = self.confirmations.to_local_time(reading, now) {
                 self.snapshot.freshness.confirm(as_of);
@@ -258,6 +275,7 @@
         if age.is_some() && self.confirmations.should_read(age, false, now) {
             self.feeds.declarations.read_now();
         }
+        self.read_once_reliable(now);
         if self.endpoint_relay.should_read(self.availability.returned_at(), now) {
             self.feeds.endpoints.read_now();
         }
@@ -283,7 +301,18 @@
             }
         }
         if let Some(declared) = self.snapshot.declared.as_ref().filter(|_| !self.newest_undecodable) {
-            self.snapshot.freshness.confirm(read.as_of);
+            if self
+                .accepted
+                .record_read(declared.version, read.as_of, boot_clock::now())
+            {
+                self.snapshot.freshness.confirm(read.as_of);
+            } else if self.accepted.contradicts(declared.version, read.as_of) {
+                if self.snapshot.freshness != freshness::Freshness::default() {
+                    warn!(self.log, "the table holds older declarations than peers have accepted; keys are not honoured";
+                        "read" => declared.version, "accepted" => self.accepted.newest());
+                }
+                self.snapshot.freshness.refute();
+            }
             if let Some(clock) = read.clock {
                 self.confirmations.record_read(read.as_of, clock);
                 self.snapshot.own_read = Some(confirmation::Confirmation {
@@ -407,5 +436,9 @@
         let others = rows.iter().filter(|row| row.instance != self.instance).count();
         self.snapshot.gateway_count.record(others + 1, boot_clock::now());
         self.availability.set_sharers(others + 1);
+        if self.snapshot.gateways_known {
+            self.accepted.record_others(others);
+            self.read_once_reliable(boot_clock::now());
+        }
     }
 }
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -10,6 +10,7 @@
 
 use crate::context;
 use crate::endpoint_facts;
+use crate::snapshot;
 
 /// The content of a datagram.
 #[derive(Debug, Serialize, Deserialize)]
@@ -26,6 +27,12 @@
     /// The sender's own last read of the endpoints, whose version is that of the newest change, in the same rounds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) own_endpoint_read: Option<confirmation::Confirmation>,
+    /// Whether the sender has started lately and can't rely on its own reads yet.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) is_starting: bool,
+    /// Whether the sender asks for the receiver's own reads.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) asks_reads: bool,
     /// What the sender knows about endpoints, in datagrams of the exchange of facts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) facts: Option<endpoint_facts::EndpointFacts>,
@@ -40,6 +47,16 @@
     pub(crate) endpoints: Option<confirmation::Confirmation>,
 }
 
+impl OwnReads {
+    /// Returns the last reads in `snapshot`.
+    pub(crate) fn of(snapshot: &snapshot::Snapshot) -> Self {
+        Self {
+            declarations: snapshot.own_read,
+            endpoints: snapshot.own_endpoint_read,
+        }
+    }
+}
+
 /// Sends `facts` to the peer at `addr` and returns the number of bytes sent.
 pub(crate) async fn send_facts(
     cx: &context::GatewayContext,
@@ -61,15 +78,39 @@
     own_reads: OwnReads,
     facts: Option<endpoint_facts::EndpointFacts>,
 ) -> Option<Vec<u8>> {
-    let message = PeerMessage {
+    encode_message(cx, &message(cx, in_flight, own_reads, facts))
+}
+
+/// Encodes a datagram that asks the receiver for its own reads. Returns `None` if that fails.
+pub(crate) fn encode_question(cx: &context::GatewayContext) -> Option<Vec<u8>> {
+    let in_flight = cx.placement.borrow().own_in_flight();
+    let question = PeerMessage {
+        asks_reads: true,
+        ..message(cx, in_flight, OwnReads::of(&cx.snapshot()), None)
+    };
+    encode_message(cx, &question)
+}
+
+fn message(
+    cx: &context::GatewayContext,
+    in_flight: Vec<(Arc<str>, u32)>,
+    own_reads: OwnReads,
+    facts: Option<endpoint_facts::EndpointFacts>,
+) -> PeerMessage {
+    PeerMessage {
         instance: Arc::clone(&cx.settings.instance),
         failure_domain: Arc::clone(&cx.settings.failure_domain),
         in_flight,
         own_read: own_reads.declarations,
         own_endpoint_read: own_reads.endpoints,
+        is_starting: cx.snapshot().is_starting,
+        asks_reads: false,
         facts,
-    };
-    let encoded = serde_json::to_vec(&message);
+    }
+}
+
+fn encode_message(cx: &context::GatewayContext, message: &PeerMessage) -> Option<Vec<u8>> {
+    let encoded = serde_json::to_vec(message);
     encoded
         .inspect_err(|e| warn!(cx.log, "failed to encode the datagram for peers"; "error" => %e))
         .ok()
--- a/crates/gateway/src/peer_read.rs
+++ b/crates/gateway/src/peer_read.rs
@@ -1,16 +1,18 @@
-//! What another gateway of the failure domain reported to have read from the table.
+//! What another gateway reported to have read from the table.
 
 use std::sync::Arc;
 
-use sycamorestile_core::direct::confirmation;
+use sycamorestile_core::direct::{accepted_versions, confirmation};
 
-/// The reads that another gateway of the failure domain reported.
+/// The reads that another gateway reported.
 #[derive(Debug)]
 pub(crate) struct PeerRead {
     /// The name of the gateway's instance.
     pub(crate) instance: Arc<str>,
-    /// The version of the declarations that it read, and when.
+    /// What it tells of the declarations.
+    pub(crate) accepted: Option<accepted_versions::Told>,
+    /// The same, and when it was the newest, if the gateway is of the same failure domain.
     pub(crate) declarations: Option<confirmation::Confirmation>,
-    /// The version of the newest change of endpoints that it read, and when.
+    /// The version of the newest change of endpoints that it read, and when, if it is of the same failure domain.
     pub(crate) endpoints: Option<confirmation::Confirmation>,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,11 +3,14 @@
 //! Each datagram carries the complete state of its sender, so a lost one is replaced by the next. The counts of a peer
 //! that can't be reached expire. Datagrams are not acknowledged.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom;
 use slog::{debug, warn};
+use sycamorestile_core::direct::accepted_versions;
 use sycamorestile_table::boot_clock;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
@@ -50,10 +53,10 @@
         };
         let in_flight = cx.placement.borrow().own_in_flight();
         let snapshot = cx.snapshot();
-        let own_reads = peer_link::OwnReads {
-            declarations: snapshot.own_read,
-            endpoints: snapshot.own_endpoint_read,
-        };
+        if snapshot.asks_until.is_some_and(|until| boot_clock::now() < until) {
+            ask_peers(&cx, &socket).await;
+        }
+        let own_reads = peer_link::OwnReads::of(&snapshot);
         let is_unchanged = in_flight == last_in_flight && own_reads == last_reads;
         if is_unchanged && !has_news && unchanged < MAX_SEND_INTERVAL {
             unchanged += interval;
@@ -102,6 +105,56 @@
     Duration::from_secs_f64(sent as f64 / BYTES_PER_SECOND).clamp(MIN_SEND_INTERVAL, MAX_SEND_INTERVAL)
 }
 
+/// Asks a few random peers for their own reads.
+async fn ask_peers(cx: &context::GatewayContext, socket: &UdpSocket) {
+    let Some(question) = peer_link::encode_question(cx) else {
+        return;
+    };
+    let snapshot = cx.snapshot();
+    let others = snapshot
+        .gateways
+        .all()
+        .iter()
+        .filter(|g| g.instance != cx.settings.instance);
+    let addrs: Vec<SocketAddr> = others.map(|g| g.addr).collect();
+    let chosen: Vec<SocketAddr> = addrs
+        .sample(&mut cx.rng.borrow_mut(), accepted_versions::ASKED_PEERS)
+        .copied()
+        .collect();
+    for addr in chosen {
+        peer_link::send_datagram(cx, socket, &question, addr).await;
+    }
+}
+
+/// Sends this gateway's own reads to the peer at `addr`, which has asked for them.
+async fn answer_question(cx: &context::GatewayContext, socket: &UdpSocket, addr: SocketAddr) {
+    let in_flight = cx.placement.borrow().own_in_flight();
+    let own_reads = peer_link::OwnReads::of(&cx.snapshot());
+    if let Some(answer) = peer_link::encode(cx, in_flight, own_reads, None) {
+        peer_link::send_datagram(cx, socket, &answer, addr).await;
+    }
+}
+
+/// Returns what a peer's datagram tells, if the control thread needs it.
+fn peer_read(cx: &context::GatewayContext, message: &peer_link::PeerMessage) -> Option<peer_read::PeerRead> {
+    let snapshot = cx.snapshot();
+    let same_domain = message.failure_domain == cx.settings.failure_domain;
+    let in_force = snapshot.declared.as_ref().map(|declared| declared.version);
+    let accepted = message.own_read.map(|read| accepted_versions::Told {
+        version: read.version,
+        is_starting: message.is_starting,
+    });
+    let accepted = accepted.filter(|told| snapshot.is_starting || Some(told.version) > in_force);
+    let read = peer_read::PeerRead {
+        instance: Arc::clone(&message.instance),
+        accepted,
+        declarations: message.own_read.filter(|_| same_domain),
+        endpoints: message.own_endpoint_read.filter(|_| same_domain),
+    };
+    let is_needed = read.accepted.is_some() || read.declarations.is_some() || read.endpoints.is_some();
+    is_needed.then_some(read)
+}
+
 /// Receives the datagrams of peers until the process exits.
 async fn receive(
     cx: Rc<context::GatewayContext>,
@@ -121,15 +174,12 @@
         match serde_json::from_slice::<peer_link::PeerMessage>(buf.get(..len).unwrap_or_default()) {
             Ok(message) => {
                 let now = boot_clock::now();
-                let same_domain = message.failure_domain == cx.settings.failure_domain;
-                let has_read = message.own_read.is_some() || message.own_endpoint_read.is_some();
-                if same_domain && has_read {
+                if let Some(read) = peer_read(&cx, &message) {
                     // A read that is lost to a full queue is replaced by the next one.
-                    let _queued = peer_reads.try_send(peer_read::PeerRead {
-                        instance: Arc::clone(&message.instance),
-                        declarations: message.own_read,
-                        endpoints: message.own_endpoint_read,
-                    });
+                    let _queued = peer_reads.try_send(read);
+                }
+                if message.asks_reads {
+                    answer_question(&cx, &socket, from).await;
                 }
                 cx.placement
                     .borrow_mut()
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -19,6 +19,10 @@
     pub(crate) own_endpoint_read: Option<confirmation::Confirmation>,
     /// The endpoints that accept requests, sorted by service, then by identifier.
     pub(crate) endpoints: Arc<Vec<Arc<endpoint::Endpoint>>>,
+    /// Whether this gateway has started lately and can't rely on its own reads of the declarations yet.
+    pub(crate) is_starting: bool,
+    /// Until when peers are asked for the versions that they have accepted, if they are.
+    pub(crate) asks_until: Option<time::Time>,
     /// Up to when all changes of endpoints are known.
     pub(crate) endpoints_confirmed_at: Option<time::Time>,
     /// Whether the endpoints were read at least once.
