--- a/review/standins-2/encoded.rs
+++ b/review/standins-2/encoded.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::client::Traffic;
-use crate::env::{Case, Gateway, Verdict, configuration};
+use crate::env::{Case, Gateway, Verdict, ledger_configuration};
 use crate::replica::Replica;
 use crate::store::Store;
 
@@ -25,7 +25,7 @@
 
 pub fn play(case: &Case) -> Verdict {
     let store = Store::new(&case.record);
-    store.put("op", "config", Some(&configuration(1)));
+    store.put("op", "config", Some(&ledger_configuration()));
     let replicas: Vec<Replica> = (1..=REPLICAS)
         .map(|i| Replica::start(&format!("i-{i}"), "ledger", WORK, &case.record))
         .collect();
--- a/review/standins-2/env.rs
+++ b/review/standins-2/env.rs
@@ -129,17 +129,36 @@
     NotRun(String),
 }
 
-/// Returns the configuration: a safe and an unsafe route to the service `ledger`.
-pub fn configuration(version: u64) -> String {
-    let route = |prefix: &str, kind: &str, attempts: u32| {
-        format!(
-            r#"{{"name":"r{prefix}","host":"{HOST}","prefix":"{prefix}","type":"{kind}","timeoutMs":2000,"targetLatencyMs":300,"priority":2,"service":"ledger","maxAttempts":{attempts},"public":false,"stickySessions":false,"streamResume":false}}"#
-        )
-    };
+/// Returns a route. `target` is the field that names its service, or those that share its requests.
+pub fn route(prefix: &str, kind: &str, timeout_ms: u32, attempts: u32, target: &str) -> String {
+    let is_stream = kind == "streaming";
     format!(
-        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"ledger","healthPath":"/healthz","maxConnections":96,"protocol":"h1","tls":false}}],
+        r#"{{"name":"r{prefix}","host":"{HOST}","prefix":"{prefix}","type":"{kind}","timeoutMs":{timeout_ms},"targetLatencyMs":400,"priority":1,{target},"maxAttempts":{attempts},"public":false,"stickySessions":{is_stream},"streamResume":{is_stream},"targetGapMs":120}}"#
+    )
+}
+
+/// Returns the configuration with these routes and services.
+pub fn configuration(version: u64, routes: &[String], services: &[&str]) -> String {
+    let services: Vec<String> = services
+        .iter()
+        .map(|name| {
+            format!(r#"{{"name":"{name}","healthPath":"/healthz","maxConnections":96,"protocol":"h1","tls":false}}"#)
+        })
+        .collect();
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{}],
 "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{API_KEY}"],"priority":1}}]}}"#,
-        route("/lots/", "safe", 2),
-        route("/sign/", "unsafe", 1)
+        routes.join(","),
+        services.join(",")
     )
 }
+
+/// Returns a configuration with a safe and an unsafe route to the service `ledger`.
+pub fn ledger_configuration() -> String {
+    let target = r#""service":"ledger""#;
+    let routes = [
+        route("/lots/", "safe", 2_000, 2, target),
+        route("/sign/", "unsafe", 2_000, 1, target),
+    ];
+    configuration(1, &routes, &["ledger"])
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod replica;
 mod restored;
+mod split;
 mod store;
 
 use std::path::PathBuf;
@@ -38,6 +39,7 @@
     let verdict = match name.as_str() {
         "encoded" => encoded::play(&case),
         "restored" => restored::play(&case),
+        "split" => split::play(&case),
         _ => env::Verdict::NotRun(format!("no case {name}")),
     };
     // The logs of the gateways are kept only for a case that could not run.
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -32,6 +32,10 @@
 
 /// The number of requests that a replica runs at once.
 const SLOTS: usize = 6;
+/// What the paths begin with whose answers are streams.
+const STREAMS: &str = "/draft";
+/// The number of events of a stream.
+const EVENTS: usize = 5;
 
 impl Replica {
     pub fn start(id: &str, service: &str, work: Duration, record: &Record) -> Self {
@@ -165,6 +169,11 @@
         } else {
             ""
         };
+        if req.target().starts_with(STREAMS) {
+            self.record
+                .line(&format!("{}: answers 200 to {attempt}, a whole stream", self.id));
+            return self.stream(&echo).into_bytes();
+        }
         let is_spoilt = number.checked_rem(self.spoils_each.load(Ordering::SeqCst)) == Some(0);
         let coding = if is_spoilt { "Content-Encoding: gzip\r\n" } else { "" };
         let body = self.body_of(&attempt, is_spoilt);
@@ -182,6 +191,19 @@
         .into_bytes()
     }
 
+    /// Returns a whole stream.
+    fn stream(&self, echo: &str) -> String {
+        let events = (1..=EVENTS).map(|id| {
+            let event = format!("id: {id}\ndata: piece {id}\n\n");
+            format!("{:x}\r\n{event}\r\n", event.len())
+        });
+        format!(
+            "HTTP/1.1 200 OK\r\n{echo}X-Replica-Signature: {}.1\r\nX-Replica-Load: 0,0,{SLOTS}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n",
+            self.id,
+            events.collect::<String>()
+        )
+    }
+
     /// Returns the body of the answer to an attempt.
     fn body_of(&self, attempt: &str, is_spoilt: bool) -> String {
         if is_spoilt {
--- a/review/standins-2/restored.rs
+++ b/review/standins-2/restored.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::Traffic;
-use crate::env::{Case, Gateway, Verdict, configuration};
+use crate::env::{Case, Gateway, Verdict, ledger_configuration};
 use crate::replica::Replica;
 use crate::store::Store;
 
@@ -33,7 +33,7 @@
 pub fn play(case: &Case) -> Verdict {
     let record = &case.record;
     let store = Store::new(record);
-    store.put("op", "config", Some(&configuration(1)));
+    store.put("op", "config", Some(&ledger_configuration()));
     let replicas: Vec<Replica> = (1..=REPLICAS)
         .map(|i| Replica::start(&format!("i-{i}"), "ledger", WORK, record))
         .collect();
@@ -87,7 +87,7 @@
         record.line("store: comes back from the copy");
         store.come_back(Some(copy));
         // What the operator wrote is written again.
-        store.put("op", "config", Some(&configuration(1)));
+        store.put("op", "config", Some(&ledger_configuration()));
     }
     thread::sleep(EXIT_AFTER);
     leaving.end();
