--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -14,6 +14,7 @@
 mod restored;
 mod split;
 mod store;
+mod weights;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -40,6 +41,7 @@
         "encoded" => encoded::play(&case),
         "restored" => restored::play(&case),
         "split" => split::play(&case),
+        "weights" => weights::play(&case),
         _ => env::Verdict::NotRun(format!("no case {name}")),
     };
     // The logs of the gateways are kept only for a case that could not run.
