--- a/review/standins-2/env.rs
+++ b/review/standins-2/env.rs
@@ -24,6 +24,7 @@
     pub callers: SocketAddr,
     ready: SocketAddr,
     child: Child,
+    log: PathBuf,
 }
 
 impl Gateway {
@@ -44,7 +45,8 @@
         );
         let path = folder.join(format!("{name}.json"));
         fs::write(&path, settings).ok()?;
-        let log = File::create(folder.join(format!("{name}.log"))).ok()?;
+        let log_path = folder.join(format!("{name}.log"));
+        let log = File::create(&log_path).ok()?;
         let child = Command::new(PROGRAM)
             .arg("gateway")
             .env("SYCAMORESTILE_BOOT", &path)
@@ -58,6 +60,7 @@
             callers,
             ready,
             child,
+            log: log_path,
         })
     }
 
@@ -71,10 +74,21 @@
         answer.is_some_and(|a| a.status() == 200)
     }
 
+    /// Returns the code with which the process has ended by itself, if it has.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok()?.map(|status| status.code().unwrap_or(-1))
+    }
+
+    /// Returns what the process has written, in one line.
+    pub fn last_words(&self) -> String {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        text.split_whitespace().collect::<Vec<_>>().join(" ")
+    }
+
     /// Waits until the gateway is ready. Returns whether it is within `limit`.
-    pub fn wait_until_ready(&self, limit: Duration) -> bool {
+    pub fn wait_until_ready(&mut self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
-        while Instant::now() < end {
+        while Instant::now() < end && self.exit_code().is_none() {
             if self.is_ready() {
                 return true;
             }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod encoded;
 mod env;
+mod fraction;
 mod http;
 mod json;
 mod record;
@@ -39,6 +40,7 @@
     case.record.line(&format!("case {name}, trouble: {}", case.has_trouble));
     let verdict = match name.as_str() {
         "encoded" => encoded::play(&case),
+        "fraction" => fraction::play(&case),
         "restored" => restored::play(&case),
         "split" => split::play(&case),
         "weights" => weights::play(&case),
--- a/review/standins-2/restored.rs
+++ b/review/standins-2/restored.rs
@@ -49,7 +49,7 @@
             None => return Verdict::NotRun(format!("{name} did not start")),
         }
     }
-    if !gateways.iter().all(|g| g.wait_until_ready(Duration::from_secs(10))) {
+    if !gateways.iter_mut().all(|g| g.wait_until_ready(Duration::from_secs(10))) {
         return Verdict::NotRun("a gateway is not ready".to_owned());
     }
     thread::sleep(Duration::from_secs(3));
