--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,12 +7,12 @@
 mod client;
 mod encoded;
 mod env;
-mod fraction;
 mod http;
 mod json;
 mod record;
 mod replica;
 mod restored;
+mod silent;
 mod split;
 mod store;
 mod weights;
@@ -40,8 +40,8 @@
     case.record.line(&format!("case {name}, trouble: {}", case.has_trouble));
     let verdict = match name.as_str() {
         "encoded" => encoded::play(&case),
-        "fraction" => fraction::play(&case),
         "restored" => restored::play(&case),
+        "silent" => silent::play(&case),
         "split" => split::play(&case),
         "weights" => weights::play(&case),
         _ => env::Verdict::NotRun(format!("no case {name}")),
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -24,6 +24,7 @@
     spoils_each: Arc<AtomicUsize>,
     is_leaving: Arc<AtomicBool>,
     has_ended: Arc<AtomicBool>,
+    is_full: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     running: Arc<AtomicUsize>,
     /// The attempts that were run.
@@ -38,6 +39,32 @@
 /// The number of events of a stream.
 const EVENTS: usize = 5;
 
+/// How a stream is written.
+#[derive(Clone, Copy)]
+struct Pace {
+    events: usize,
+    /// A pause in the middle, in which its memory is given to other requests.
+    pause: Duration,
+}
+
+/// The time between two events.
+const EVENT_TIME: Duration = Duration::from_millis(60);
+/// The event before which a stream may pause.
+const PAUSE_BEFORE: usize = 6;
+
+/// Returns how the answer to a request is written, if event by event.
+fn pace_of(req: &http::Message) -> Option<Pace> {
+    let pace = |events, pause_ms| {
+        let pause = Duration::from_millis(pause_ms);
+        Some(Pace { events, pause })
+    };
+    match req.target() {
+        "/draft/steady" => pace(60, 0),
+        "/draft/preempted" => pace(20, 1_200),
+        _ => None,
+    }
+}
+
 impl Replica {
     pub fn start(id: &str, service: &str, work: Duration, record: &Record) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
@@ -53,6 +80,7 @@
             spoils_each: Arc::default(),
             is_leaving: Arc::default(),
             has_ended: Arc::default(),
+            is_full: Arc::default(),
             connections: Arc::default(),
             running: Arc::default(),
             runs: Arc::default(),
@@ -117,6 +145,11 @@
         }
     }
 
+    /// From now on, the replica is full and refuses streams that come.
+    pub fn fill(&self) {
+        self.is_full.store(true, Ordering::SeqCst);
+    }
+
     /// From now on, one of `each` answers is spoilt; none if it is 0.
     pub fn spoil(&self, each: usize) {
         self.spoils_each.store(each, Ordering::SeqCst);
@@ -132,6 +165,12 @@
         let (mut reader, mut stream) = (BufReader::new(reader), stream);
         let _nodelay = stream.set_nodelay(true);
         while let Some(req) = http::read(&mut reader, false).filter(|req| req.is_complete) {
+            if let Some(plan) = pace_of(&req) {
+                if self.stream_slowly(&mut stream, &req, plan).is_none() {
+                    return;
+                }
+                continue;
+            }
             let answer = self.answer(&req);
             if self.has_ended.load(Ordering::SeqCst) {
                 return;
@@ -198,6 +237,53 @@
         .into_bytes()
     }
 
+    /// Writes a stream event by event, or refuses the request if the replica is full. Returns `None` if the connection broke.
+    fn stream_slowly(&self, stream: &mut TcpStream, req: &http::Message, plan: Pace) -> Option<()> {
+        let attempt = req.header("x-attempt-id").unwrap_or("-").to_owned();
+        let echo = format!("X-Attempt-Id: {attempt}\r\n");
+        if self.is_full.load(Ordering::SeqCst) {
+            self.record
+                .line(&format!("{}: is full, answers 503 to {attempt}", self.id));
+            let refusal = format!("HTTP/1.1 503 X\r\n{echo}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return stream.write_all(refusal.as_bytes()).ok();
+        }
+        self.record
+            .line(&format!("{}: runs {attempt} ({})", self.id, req.first_line));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{echo}X-Replica-Signature: {}.1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        stream.write_all(head.as_bytes()).ok()?;
+        let after: usize = req.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        for id in after + 1..=plan.events {
+            if id == PAUSE_BEFORE && !plan.pause.is_zero() {
+                self.record
+                    .line(&format!("{}: preempts {attempt} before event {id}", self.id));
+            }
+            thread::sleep(if id == PAUSE_BEFORE {
+                EVENT_TIME + plan.pause
+            } else {
+                EVENT_TIME
+            });
+            let event = format!("id: {id}\ndata: piece {id}\n\n");
+            if stream
+                .write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+                .is_err()
+            {
+                self.record.line(&format!(
+                    "{}: event {id} of {attempt} finds the connection closed",
+                    self.id
+                ));
+                return None;
+            }
+        }
+        self.record.line(&format!(
+            "{}: has sent all {} events of {attempt}",
+            self.id, plan.events
+        ));
+        stream.write_all(b"0\r\n\r\n").ok()
+    }
+
     /// Returns a whole stream.
     fn stream(&self, echo: &str) -> String {
         let events = (1..=EVENTS).map(|id| {
