--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -2,7 +2,7 @@
 # Plays the case with the gateways of the deploy file. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/cases ] && [ -x target/release/sycamorestile-hosted ] || exit 2
-target/review-2/cases weights review/10
+target/review-2/cases rank review/10
 status=$?
 [ $status -le 2 ] || status=2
 exit $status
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,13 +9,13 @@
 mod env;
 mod http;
 mod json;
+mod rank;
 mod record;
 mod replica;
 mod restored;
 mod silent;
 mod split;
 mod store;
-mod weights;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -40,10 +40,10 @@
     case.record.line(&format!("case {name}, trouble: {}", case.has_trouble));
     let verdict = match name.as_str() {
         "encoded" => encoded::play(&case),
+        "rank" => rank::play(&case),
         "restored" => restored::play(&case),
         "silent" => silent::play(&case),
         "split" => split::play(&case),
-        "weights" => weights::play(&case),
         _ => env::Verdict::NotRun(format!("no case {name}")),
     };
     // The logs of the gateways are kept only for a case that could not run.
