--- a/review/standins-2/env.rs
+++ b/review/standins-2/env.rs
@@ -73,8 +73,8 @@
 
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) -> bool {
-        let killed = Command::new("kill")
-            .args(["-TERM", &self.child.id().to_string()])
+        let killed = Command::new("sh")
+            .args(["-c", &format!("kill -TERM {}", self.child.id())])
             .status();
         killed.is_ok_and(|status| status.success())
     }
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -59,7 +59,7 @@
     };
     match req.target() {
         "/draft/steady" => pace(60, 0),
-        "/draft/preempted" => pace(20, 1_200),
+        "/draft/preempted" => pace(20, 1_500),
         _ => None,
     }
 }
