--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -342,6 +342,12 @@
         is_authentic: head.is_authentic,
         is_encoded: is_encoded(&parts.headers) && !req_cx.call.headers.contains_key(header::ACCEPT_ENCODING),
     };
+    if let Some(coding) = parts.headers.get(header::CONTENT_ENCODING) {
+        let accepted = req_cx.call.headers.get(header::ACCEPT_ENCODING);
+        info!(cx.log, "response has a coding";
+            "request" => req_cx.call.id(), "endpoint" => slot.endpoint.id.as_ref(), "coding" => ?coding,
+            "accepted" => ?accepted, "is_refused" => facts.is_encoded);
+    }
     let now = boot_clock::now();
     let id = Arc::clone(&slot.endpoint.id);
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
