Whether a caller accepts a coding is decided by what its Accept-Encoding says

Cause: the presence of Accept-Encoding counted as consent. Ruled out: the coding isn't seen (without the header the same response is replaced by 502), only names differ (identity, an empty value, q=0 and other codings all fail).

Change: core::direct::coding decides by the value, as RFC 9110 12.5.3 defines it.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -16,6 +16,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod broken_responses;
+pub mod coding;
 pub mod confirmation;
 mod crash;
 pub mod crash_evidence;
--- a/crates/core/src/direct/response_class.rs
+++ b/crates/core/src/direct/response_class.rs
@@ -17,7 +17,7 @@
     pub not_run: bool,
     /// Whether the response carries the signature header of an endpoint.
     pub is_authentic: bool,
-    /// Whether the body has a coding that the caller did not ask for.
+    /// Whether the body has a coding that the caller did not ask for, by [`coding`](crate::direct::coding).
     pub is_encoded: bool,
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use slog::info;
-use sycamorestile_core::direct::{access, attempts, crash_evidence, endpoint, response_class, response_room, route};
+use sycamorestile_core::direct::{
+    access, attempts, coding, crash_evidence, endpoint, response_class, response_room, route,
+};
 use sycamorestile_core::problem;
 use sycamorestile_table::boot_clock;
 use tokio::time;
@@ -340,7 +342,7 @@
         is_first_response: lease.idle_time == pool::IdleTime::None,
         not_run: head.not_run,
         is_authentic: head.is_authentic,
-        is_encoded: is_encoded(&parts.headers) && !req_cx.call.headers.contains_key(header::ACCEPT_ENCODING),
+        is_encoded: is_encoded(&parts.headers, &req_cx.call.headers),
     };
     if let Some(coding) = parts.headers.get(header::CONTENT_ENCODING) {
         let accepted = req_cx.call.headers.get(header::ACCEPT_ENCODING);
@@ -509,14 +511,26 @@
 /// Returns whether the end of a body is only known by the end of its connection, so that a crash of the endpoint looks
 /// like a complete response.
 pub(crate) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
-    let is_framed = headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING);
+    let is_framed = if headers.contains_key(header::TRANSFER_ENCODING) {
+        coding::is_chunked(&field_values(headers, &header::TRANSFER_ENCODING))
+    } else {
+        headers.contains_key(header::CONTENT_LENGTH)
+    };
     !is_framed && !body.is_end_stream()
 }
 
-/// Returns whether the body has a coding.
-fn is_encoded(headers: &HeaderMap) -> bool {
-    let codings = headers.get_all(header::CONTENT_ENCODING).iter();
-    codings.into_iter().any(|coding| coding != "identity")
+/// Returns whether the body of a response has a coding that a caller with the headers `accepting` doesn't accept.
+fn is_encoded(headers: &HeaderMap, accepting: &HeaderMap) -> bool {
+    let codings = field_values(headers, &header::CONTENT_ENCODING);
+    let accepted = field_values(accepting, &header::ACCEPT_ENCODING);
+    !coding::is_accepted(&codings, &accepted)
+        || coding::is_transfer_coded(&field_values(headers, &header::TRANSFER_ENCODING))
+}
+
+/// Returns the values of all fields `name`. One that is no text names nothing that is known.
+fn field_values<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Vec<&'a str> {
+    let fields = headers.get_all(name).iter();
+    fields.map(|value| value.to_str().unwrap_or_default()).collect()
 }
 
 /// Returns the connection to the pool unless the response asks to close it.
