An agent doesn't answer with a coded body

What callers would see: an endpoint's coded bytes as a plain body, since the agent tells the entry a status and a media type, and no coding.

Ruled out: a client library that decodes (the bytes arrive as sent).

Change: such a response is none, with the outcome unknown. Agents ask for no coding, so any is too many.

--- a/crates/node/src/agent/endpoint_call.rs
+++ b/crates/node/src/agent/endpoint_call.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use sycamorestile_core::claim;
 use sycamorestile_core::config::endpoint;
+use sycamorestile_core::direct::coding;
 use sycamorestile_core::event_splitter;
 use sycamorestile_core::event_stream;
 use sycamorestile_core::problem;
@@ -169,6 +170,13 @@
     deadline: Time,
 ) -> Result<Option<claim::StoredResponse>, ReadError> {
     let status = response.status().as_u16();
+    if is_coded(response.headers()) {
+        let detail = "the endpoint's response has a coding that nobody asked for";
+        return Err(ReadError::Final(problem::Problem::new(
+            problem::ProblemKind::AnswerLost,
+            detail,
+        )));
+    }
     let content_type = response.headers().get(http::header::CONTENT_TYPE);
     let content_type: Option<Box<str>> = content_type.and_then(|v| v.to_str().ok()).map(Into::into);
     let is_stream = content_type.as_deref().is_some_and(event_stream::is_event_stream);
@@ -202,6 +210,13 @@
     }))
 }
 
+/// Returns whether the body has a coding. Agents accept none, and callers aren't told of one.
+fn is_coded(headers: &HeaderMap) -> bool {
+    let transfer_codings = headers.get_all(http::header::TRANSFER_ENCODING).iter();
+    let transfer_codings: Vec<&str> = transfer_codings.map(|v| v.to_str().unwrap_or_default()).collect();
+    headers.contains_key(http::header::CONTENT_ENCODING) || coding::is_transfer_coded(&transfer_codings)
+}
+
 async fn receive_body(
     cx: &context::AgentContext,
     req: &attempt_request::AttemptRequest,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod draining;
 mod end_to_end;
 mod module_circles;
+mod odd_responses;
 mod operators;
 mod partitions;
 mod resumed_streams;
