Numbers of any size and form are read from the platform's documents

Cause: priority was read into eight bits, and one field that doesn't fit makes the whole document undecodable. Ruled out: the number is judged (255 holds), the version isn't read (a priority of 3 holds).

--- a/crates/core/src/direct/credentials.rs
+++ b/crates/core/src/direct/credentials.rs
@@ -8,7 +8,7 @@
     /// Name, which is forwarded to endpoints.
     pub name: Arc<str>,
     /// Priority of its requests, which overrides the priority of the route.
-    pub priority: Option<u8>,
+    pub priority: Option<u64>,
 }
 
 /// The API keys in force.
--- a/crates/core/src/direct/route.rs
+++ b/crates/core/src/direct/route.rs
@@ -39,16 +39,16 @@
 }
 
 /// A service that receives a share of a route's requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Target {
     /// Name of the service.
     pub service: Arc<str>,
-    /// Weight relative to the route's other targets.
-    pub weight: u32,
+    /// Weight relative to the route's other targets, which isn't negative.
+    pub weight: f64,
 }
 
 /// Declares how requests with one host and path prefix are handled.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Route {
     /// Name, used in logs.
     pub name: Arc<str>,
@@ -65,7 +65,7 @@
     /// Number of endpoints to which one request may be sent; at least 1.
     pub max_attempts: u32,
     /// Priority of requests; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: u64,
     /// The latency objectives of streamed responses, if they are declared.
     pub objectives: Option<StreamObjectives>,
     /// Whether requests are accepted without an API key.
@@ -80,10 +80,10 @@
         F: Fn(&str) -> bool,
     {
         let candidates: Vec<&Target> = self.targets.iter().filter(|t| usable(&t.service)).collect();
-        let total: u32 = candidates.iter().map(|t| t.weight).sum();
-        let mut point = chance.clamp(0.0, 1.0) * f64::from(total);
+        let total: f64 = candidates.iter().map(|t| t.weight).sum();
+        let mut point = chance.clamp(0.0, 1.0) * total;
         let chosen = candidates.iter().find(|t| {
-            point -= f64::from(t.weight);
+            point -= t.weight;
             point < 0.0
         });
         chosen.or(candidates.last()).copied()
--- a/crates/core/tests/direct_access.rs
+++ b/crates/core/tests/direct_access.rs
@@ -19,7 +19,7 @@
         kind: route::RouteKind::Safe,
         targets: vec![route::Target {
             service: Arc::from("ledger"),
-            weight: 1,
+            weight: 1.0,
         }],
         timeout: Duration::from_secs(1),
         max_attempts: 2,
@@ -138,11 +138,11 @@
     split.targets = vec![
         route::Target {
             service: Arc::from("old"),
-            weight: 90,
+            weight: 90.0,
         },
         route::Target {
             service: Arc::from("new"),
-            weight: 10,
+            weight: 10.0,
         },
     ];
     let chosen = (0..1_000).filter(|n| {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -344,12 +344,7 @@
         is_authentic: head.is_authentic,
         is_encoded: is_encoded(&parts.headers, &req_cx.call.headers),
     };
-    if let Some(coding) = parts.headers.get(header::CONTENT_ENCODING) {
-        let accepted = req_cx.call.headers.get(header::ACCEPT_ENCODING);
-        info!(cx.log, "response has a coding";
-            "request" => req_cx.call.id(), "endpoint" => slot.endpoint.id.as_ref(), "coding" => ?coding,
-            "accepted" => ?accepted, "is_refused" => facts.is_encoded);
-    }
+    log_coding(cx, &req_cx.call, &slot.endpoint, &parts.headers, facts.is_encoded);
     let now = boot_clock::now();
     let id = Arc::clone(&slot.endpoint.id);
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
@@ -431,6 +426,22 @@
     }
 }
 
+/// Logs the coding of a response, with what its caller accepts.
+fn log_coding(
+    cx: &context::GatewayContext,
+    call: &call::Call,
+    endpoint: &endpoint::Endpoint,
+    headers: &HeaderMap,
+    is_refused: bool,
+) {
+    if let Some(coding) = headers.get(header::CONTENT_ENCODING) {
+        let accepted = call.headers.get(header::ACCEPT_ENCODING);
+        info!(cx.log, "response has a coding";
+            "request" => call.id(), "endpoint" => endpoint.id.as_ref(), "coding" => ?coding, "accepted" => ?accepted,
+            "is_refused" => is_refused);
+    }
+}
+
 /// Records the rate limit that a response of the endpoint `id` names.
 fn record_rate_limit(cx: &context::GatewayContext, id: &Arc<str>, head: &header_adapter::ResponseHead) {
     let is_new = cx
--- a/crates/gateway/src/header_adapter.rs
+++ b/crates/gateway/src/header_adapter.rs
@@ -48,7 +48,7 @@
     /// The identifier of the last event that the caller received, if the stream is to be resumed after it.
     pub last_event_id: Option<&'a str>,
     /// The priority of the request, where zero is the most urgent.
-    pub priority: Option<u8>,
+    pub priority: Option<u64>,
 }
 
 /// The fields of an endpoint's response head that the gateway uses.
