An attempt that goes silent is kept until another endpoint has taken the request over

Cause: a silent attempt was dropped before another endpoint was asked, so that whatever that one did decided over a request which the first would have answered. Ruled out: the stop (the same without SIGTERM), an attempt that is counted wrongly (the log shows no third one due). The same order stood in four places: silent streams, streams that send bytes without events, streams on a slow rank, requests without a head.

Change: gateway::waiting keeps silent attempts and reads on; whichever endpoint begins to answer first has the request. gateway::receive reads responses apart from what they mean for the next attempt. Silent attempts have a metric. What other requests learn of a silent endpoint is as before.

Agents of the product's own path have the same order of steps still.

--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -94,9 +94,15 @@
 
     /// Records that the request was sent and no complete response arrived.
     pub fn lost(&mut self) -> NextAttempt {
+        self.set_aside();
+        self.next_attempt()
+    }
+
+    /// Records that the attempt goes on while another one is made, or that it was withdrawn because an earlier one went on. The
+    /// request may run there.
+    pub fn set_aside(&mut self) {
         self.is_pending = false;
         self.may_have_run = true;
-        self.next_attempt()
     }
 
     /// Records that the endpoint ran the request and failed. If this returns [`NextAttempt::End`], the driver may
--- a/crates/core/src/direct/event_buffer.rs
+++ b/crates/core/src/direct/event_buffer.rs
@@ -100,6 +100,11 @@
         !self.partial.is_empty()
     }
 
+    /// Returns whether the next event is the first one of another endpoint.
+    pub fn is_continued(&self) -> bool {
+        self.is_continued
+    }
+
     /// Discards the bytes of an incomplete event, and what was wrong with it, since another endpoint continues the stream.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
--- a/crates/core/tests/direct_attempts.rs
+++ b/crates/core/tests/direct_attempts.rs
@@ -202,3 +202,28 @@
     state.start();
     assert_eq!(state.failure_outcome(), FailureOutcome::Unknown);
 }
+
+// Guards against a promise that a request did not run, while an earlier attempt goes on beside the one that was refused.
+#[test]
+fn request_beside_an_attempt_that_was_set_aside_may_have_run() {
+    let mut attempts = RequestAttempts::new(RouteKind::Safe, 2);
+    attempts.start();
+    attempts.set_aside();
+    attempts.start();
+    assert_eq!(attempts.refused(), NextAttempt::End(FailureOutcome::Unknown));
+    assert_eq!(attempts.failure_outcome(), FailureOutcome::Unknown);
+}
+
+// Guards against an attempt too many, after one that was withdrawn before its result was known.
+#[test]
+fn withdrawn_attempt_counts_as_sent() {
+    let mut attempts = RequestAttempts::new(RouteKind::Stream { resumable: true }, 2);
+    attempts.start();
+    attempts.set_aside();
+    attempts.start();
+    attempts.set_aside();
+    assert_eq!(attempts.sent_count(), 2);
+    attempts.not_sent();
+    assert_eq!(attempts.sent_count(), 2);
+    assert!(!attempts.may_abandon());
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,7 @@
 //! The traffic thread reads the newest snapshot and never waits for the control thread.
 //!
 //! ```text
-//! caller ─HTTP─► server ─► handle ─► proxy ─► attempt ─► pool ─HTTP─► endpoint
+//! caller ─HTTP─► server ─► handle ─► proxy ─► attempt ─► waiting ─► receive ─► pool ─HTTP─► endpoint
 //!                            │         │          │
 //!                            │         └─► stream_forwarder, response_forwarder ─► crash_watch
 //!                            ▼                                     │
@@ -23,7 +23,8 @@
 //!                          feed ─HTTP─► the platform's table
 //! ```
 //!
-//! A request passes from `handle`, which reads and authorizes it, to `proxy`, which chooses the next step, and to `attempt`. A stream
+//! A request passes from `handle`, which reads and authorizes it, to `proxy`, which chooses the next step, and to `attempt`. An attempt
+//! that goes silent is kept in `waiting`, until another one has taken the request over. `receive` reads responses. A stream
 //! goes on to `stream_forwarder`, a response that there is no room to read completely to `response_forwarder`. The state of a
 //! request is `request::RequestContext`. Modules import each other downwards only, which a test checks.
 //!
@@ -38,10 +39,13 @@
 mod control_state;
 mod crash_watch;
 mod endpoint_facts;
+mod endpoint_slot;
+mod endpoint_stream;
 mod error;
 mod fact_exchange;
 mod handle;
 pub mod header_adapter;
+mod hop_by_hop;
 mod metrics;
 mod monitoring;
 mod own_rows;
@@ -50,6 +54,7 @@
 mod peers;
 mod pool;
 mod proxy;
+mod receive;
 mod refuse;
 mod request;
 mod reservation;
@@ -63,6 +68,7 @@
 mod snapshot;
 mod stream_forwarder;
 mod topics;
+mod waiting;
 mod withdrawal;
 
 pub use error::GatewayError;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,16 @@
 /// The bucket bounds of the latency histograms, in seconds.
 const SECONDS_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0];
 
+/// The label of requests that another endpoint has taken over.
+const TAKEN_OVER: SilentLabels = SilentLabels { result: "taken_over" };
+/// The label of requests whose silent endpoint went on before that.
+const WENT_ON: SilentLabels = SilentLabels { result: "went_on" };
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SilentLabels {
+    result: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Labels {
     organisation: String,
@@ -46,6 +56,7 @@
     outcomes: Family<OutcomeLabels, Counter>,
     repeated_sends: Counter,
     withheld_repeats: Counter,
+    silent_attempts: Family<SilentLabels, Counter>,
     connects: Counter,
     crashes: Counter,
     quarantined_segments: Gauge,
@@ -110,6 +121,11 @@
                 "withheld_repeats",
                 "Requests not sent to another endpoint because the retry budget was used up",
             ),
+            silent_attempts: new(
+                &mut registry,
+                "silent_attempts",
+                "Attempts that went silent, by what became of their requests",
+            ),
             connects: new(&mut registry, "connects", "Connections opened to endpoints"),
             crashes: new(
                 &mut registry,
@@ -204,6 +220,14 @@
     }
 
     /// Counts a request that is sent to another endpoint after a failed attempt.
+    pub(crate) fn record_taken_over(&self) {
+        self.silent_attempts.get_or_create(&TAKEN_OVER).inc();
+    }
+
+    pub(crate) fn record_kept_attempt(&self) {
+        self.silent_attempts.get_or_create(&WENT_ON).inc();
+    }
+
     pub(crate) fn record_repeated_send(&self) {
         self.repeated_sends.inc();
     }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -1,14 +1,14 @@
 //! Forwards one request to endpoints until there is a response for the caller.
 //!
 //! [`attempts::RequestAttempts`] decides what follows a failed attempt, [`attempt`] sends the request to one endpoint,
-//! and [`stream_forwarder`] forwards a streamed response.
+//! [`waiting`] keeps attempts that have gone silent, and [`stream_forwarder`] forwards a streamed response.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::Response;
-use sycamorestile_core::direct::{admission, attempts, outage, response_room};
+use sycamorestile_core::direct::{admission, attempts, event_buffer, outage, response_room};
 use sycamorestile_core::problem;
 use sycamorestile_table::boot_clock;
 use tokio::time;
@@ -17,12 +17,14 @@
 use crate::call;
 use crate::context;
 use crate::crash_watch;
+use crate::endpoint_stream;
 use crate::refuse;
 use crate::request;
 use crate::response_account;
 use crate::response_body;
 use crate::response_forwarder;
 use crate::stream_forwarder;
+use crate::waiting;
 use crate::withdrawal;
 
 /// The interval at which a delayed stream checks whether passes are short again.
@@ -47,7 +49,7 @@
         longest_pause: Duration::ZERO,
         is_logged: Cell::new(false),
         cx: Rc::clone(cx),
-        call,
+        call: Rc::new(call),
     };
     let admitted = set_room_aside(cx, &req_cx.call).and_then(|share| {
         if let Some(problem) = admit(cx, &req_cx.call) {
@@ -69,40 +71,109 @@
         () = wait_for_short_passes(cx, &req_cx.call) => {}
         () = cx.ending() => {}
     }
-    let mut last_event_id = req_cx.call.head.last_event_id.clone();
+    send(cx, req_cx).await
+}
+
+/// What a request comes to in one round.
+enum Step {
+    /// An endpoint that had gone silent went on.
+    Begun(waiting::Begun),
+    Attempt(Result<attempt::AttemptResult, problem::ProblemKind>),
+}
+
+/// Sends the request to one endpoint after the other until one answers.
+async fn send(
+    cx: &Rc<context::GatewayContext>,
+    mut req_cx: request::RequestContext,
+) -> Response<response_body::ResponseBody> {
+    let position = event_buffer::EventBuffer::after(req_cx.call.head.last_event_id.clone());
+    let mut waiting = waiting::Waiting::default();
     // An error response of an endpoint tells the caller more than one of the gateway.
     let mut endpoint_failure = None;
-    loop {
-        let result = tokio::select! {
-            result = attempt::run(cx, &mut req_cx, last_event_id.as_deref()) => result,
+    let (kind, reason) = loop {
+        let step = tokio::select! {
+            biased;
+            begun = waiting.next() => Step::Begun(begun),
+            result = attempt::run(cx, &mut req_cx, &position) => Step::Attempt(result),
             // The attempt is withdrawn, and its caller told whether an endpoint may have run it.
-            () = cx.ending() => Err(problem::ProblemKind::Leaving),
+            () = cx.ending() => Step::Attempt(Err(problem::ProblemKind::Leaving)),
         };
-        match result {
-            Ok(attempt::AttemptResult::Response(response)) => {
+        req_cx.examine_lost(cx, waiting.take_lost()).await;
+        let (next, why) = match step {
+            Step::Begun(begun) => return respond_late(cx, req_cx, begun),
+            Step::Attempt(Ok(attempt::AttemptResult::Response(response))) => {
+                if !waiting.is_empty() {
+                    cx.metrics.record_taken_over();
+                }
                 return request::finish(cx, &req_cx, *response, "answered");
             }
-            Ok(attempt::AttemptResult::Stream(open)) => {
-                let response = stream_forwarder::start(cx, req_cx, *open, last_event_id.take());
-                return response;
-            }
-            Ok(attempt::AttemptResult::OpenResponse(open)) => {
+            Step::Attempt(Ok(attempt::AttemptResult::OpenResponse(open))) => {
                 return response_forwarder::start(cx, req_cx, *open);
             }
-            Ok(attempt::AttemptResult::Failed { next, why, failure }) => {
-                req_cx.attempt_failed(cx, why, next);
-                endpoint_failure = failure.or(endpoint_failure);
-                if let Some(reason) = request::stop_reason(cx, &req_cx, next) {
-                    let response =
-                        endpoint_failure.map_or_else(|| request::failure_response(cx, &req_cx, reason), |f| *f);
-                    return request::finish(cx, &req_cx, response, why);
+            Step::Attempt(Ok(attempt::AttemptResult::Stream(open))) => {
+                let stream = endpoint_stream::EndpointStream::new(*open);
+                if waiting.is_empty() {
+                    return stream_forwarder::start(cx, req_cx, waiting::BegunStream { stream, position });
+                }
+                let race = tokio::select! {
+                    biased;
+                    race = stream_forwarder::race(cx, &req_cx, &mut waiting, stream, &position) => Some(race),
+                    () = cx.ending() => None,
+                };
+                match race {
+                    Some(waiting::Race::Begun(begun)) => {
+                        cx.metrics.record_taken_over();
+                        return stream_forwarder::start(cx, req_cx, *begun);
+                    }
+                    Some(waiting::Race::Other(begun)) => return respond_late(cx, req_cx, begun),
+                    Some(waiting::Race::Lost(lost)) => {
+                        let (next, why) = (req_cx.attempts.lost(), lost.why);
+                        req_cx.examine_lost(cx, vec![lost]).await;
+                        (next, why)
+                    }
+                    Some(waiting::Race::Silent) => (req_cx.attempts.lost(), "no event in time"),
+                    None => break (problem::ProblemKind::Leaving, problem::ProblemKind::Leaving.slug()),
                 }
             }
-            Err(kind) => {
-                let response = endpoint_failure.map_or_else(|| request::failure_response(cx, &req_cx, kind), |f| *f);
-                return request::finish(cx, &req_cx, response, kind.slug());
+            Step::Attempt(Ok(attempt::AttemptResult::Silent { waiting: attempt, next })) => {
+                waiting.push(attempt);
+                (next, "no answer in time")
             }
+            Step::Attempt(Ok(attempt::AttemptResult::Failed { next, why, failure })) => {
+                endpoint_failure = failure.or(endpoint_failure);
+                (next, why)
+            }
+            Step::Attempt(Err(kind)) => break (kind, kind.slug()),
+        };
+        req_cx.attempt_failed(cx, why, next);
+        if let Some(kind) = request::stop_reason(cx, &req_cx, next) {
+            break (kind, why);
         }
+    };
+    // No other endpoint is asked, but those that went silent may still answer.
+    let last = tokio::select! {
+        last = waiting.last() => last,
+        () = cx.ending() => None,
+    };
+    req_cx.examine_lost(cx, waiting.take_lost()).await;
+    if let Some(begun) = last {
+        return respond_late(cx, req_cx, begun);
+    }
+    let response = endpoint_failure.map_or_else(|| request::failure_response(cx, &req_cx, kind), |f| *f);
+    request::finish(cx, &req_cx, response, reason)
+}
+
+/// Returns the response of an endpoint that had gone silent.
+fn respond_late(
+    cx: &Rc<context::GatewayContext>,
+    mut req_cx: request::RequestContext,
+    begun: waiting::Begun,
+) -> Response<response_body::ResponseBody> {
+    req_cx.attempt_went_on(cx);
+    match begun {
+        waiting::Begun::Stream(begun) => stream_forwarder::start(cx, req_cx, *begun),
+        waiting::Begun::Response(response) => request::finish(cx, &req_cx, *response, "answered"),
+        waiting::Begun::OpenResponse(open) => response_forwarder::start(cx, req_cx, *open),
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,6 +18,7 @@
 use crate::refuse;
 use crate::response_account;
 use crate::response_body;
+use crate::waiting;
 
 /// The `Retry-After` of a refusal while a whole service is unavailable. Groups take seconds to recover, and a request
 /// that was refused once has missed its latency objective anyway. Callers shorten the wait to what their deadline
@@ -29,21 +30,9 @@
 /// The status in logs and metrics of a request whose caller disconnected before the response. It is never sent.
 const CALLER_DISCONNECTED: u16 = 499;
 
-/// A guard that counts a request as in flight at an endpoint until it is dropped.
-pub(crate) struct EndpointSlot {
-    pub(crate) cx: Rc<context::GatewayContext>,
-    pub(crate) endpoint: Arc<endpoint::Endpoint>,
-}
-
-impl Drop for EndpointSlot {
-    fn drop(&mut self) {
-        self.cx.placement.borrow_mut().attempt_ended(&self.endpoint.id);
-    }
-}
-
 /// The state of one request across its attempts.
 pub(crate) struct RequestContext {
-    pub(crate) call: call::Call,
+    pub(crate) call: Rc<call::Call>,
     pub(crate) attempts: attempts::RequestAttempts,
     /// The endpoints of all attempts so far, including those that could not be reached.
     pub(crate) tried: Vec<Arc<str>>,
@@ -111,6 +100,34 @@
         self.endpoint_crashed |= crash_watch::examine_broken_response(cx, &self.call, endpoint, progress).await;
     }
 
+    /// Records what attempts tell of their endpoints that waited and have ended without a response.
+    pub(crate) async fn examine_lost(&mut self, cx: &context::GatewayContext, lost: Vec<waiting::Lost>) {
+        for attempt in lost {
+            info!(cx.log, "silent attempt ended"; "request" => self.call.id(),
+                "endpoint" => attempt.endpoint.id.as_ref(), "why" => attempt.why);
+            cx.placement
+                .borrow_mut()
+                .record_failure(&attempt.endpoint.id, boot_clock::now());
+            if let Some(progress) = attempt.broken {
+                self.examine_broken_response(cx, &attempt.endpoint, progress).await;
+            }
+        }
+    }
+
+    /// Makes the endpoint `id`, which was tried before, the one of the current attempt.
+    pub(crate) fn set_current(&mut self, id: &Arc<str>) {
+        self.tried.retain(|tried| tried != id);
+        self.tried.push(Arc::clone(id));
+    }
+
+    /// Records that a silent attempt goes on, and that the one beside it was withdrawn.
+    pub(crate) fn attempt_went_on(&mut self, cx: &context::GatewayContext) {
+        self.attempts.set_aside();
+        cx.metrics.record_kept_attempt();
+        info!(cx.log, "silent attempt went on"; "request" => self.call.id(), "sent" => self.attempts.sent_count(),
+            "ms" => boot_clock::now().since(self.call.started).as_millis() as u64);
+    }
+
     /// Ends the test of a quarantine if its response was lost.
     fn end_test(&mut self, cx: &context::GatewayContext) {
         let is_lost = self.attempts.failure_outcome() == attempts::FailureOutcome::Unknown;
--- a/crates/gateway/src/response_forwarder.rs
+++ b/crates/gateway/src/response_forwarder.rs
@@ -12,11 +12,12 @@
 use tokio::sync::mpsc;
 use tokio::time;
 
-use crate::attempt;
 use crate::context;
 use crate::crash_watch;
+use crate::endpoint_slot;
 use crate::header_adapter;
 use crate::pool;
+use crate::receive;
 use crate::request;
 use crate::response_account;
 use crate::response_body;
@@ -30,7 +31,7 @@
 pub(crate) fn start(
     cx: &Rc<context::GatewayContext>,
     req_cx: request::RequestContext,
-    open: attempt::OpenResponse,
+    open: receive::OpenResponse,
 ) -> Response<response_body::ResponseBody> {
     let (tx, rx) = mpsc::channel(QUEUE_CAPACITY);
     let headers = open.parts.headers.clone();
@@ -47,7 +48,7 @@
         tx,
     };
     tokio::task::spawn_local(forwarder.run(open.slot, open.lease, headers, open.head));
-    attempt::caller_response(open.parts, response_body::ResponseBody::blocks(open.blocks, Some(rx)))
+    receive::caller_response(open.parts, response_body::ResponseBody::blocks(open.blocks, Some(rx)))
 }
 
 /// The reason why a response ended.
@@ -78,7 +79,7 @@
     /// Forwards the response until it ends, and records its end in metrics and the log.
     async fn run(
         mut self,
-        slot: request::EndpointSlot,
+        slot: endpoint_slot::EndpointSlot,
         lease: pool::Lease,
         headers: HeaderMap,
         head: header_adapter::ResponseHead,
@@ -99,7 +100,7 @@
                     .borrow_mut()
                     .record_success(&endpoint.id, head.load, now);
                 crash_watch::record_proof(&self.cx, &self.req_cx.call);
-                attempt::release_connection(lease, &headers, &head);
+                receive::release_connection(lease, &headers, &head);
                 "answered"
             }
             ResponseEnd::Broken(why) => {
@@ -149,7 +150,7 @@
             };
             let Ok(data) = frame.into_data() else { continue };
             self.len += data.len();
-            if self.len > attempt::MAX_RESPONSE_BYTES {
+            if self.len > receive::MAX_RESPONSE_BYTES {
                 return ResponseEnd::Broken("answer too long");
             }
             room.send(Ok(response_account::Block::covered(data)));
