No request is placed at a slow rank while there are others; silent attempts end when nothing can come of them

A stream that leaves a slow rank runs at both ranks for a pass or two; the others were full by then, and a random sample of three may hold none but the slow rank, whose requests then keep the passes of the whole group long.

Change: ranks that streams leave are chosen only when there is no other. A stream on one is held until 0.25 s before its caller would leave. Silent attempts count no slot.

--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -118,6 +118,9 @@
             .collect();
         // If every endpoint is in backoff, the backoff is ignored.
         let pool = if usable.is_empty() { untried } else { usable };
+        // One request at a slow rank slows those at all ranks of its group, which is worse than a wait for a slot.
+        let (slow, others): (Vec<_>, Vec<_>) = pool.into_iter().partition(|e| should_leave(e));
+        let pool = if others.is_empty() { slow } else { others };
         let cost = |e: &endpoint::Endpoint| {
             let domain_penalty = if e.failure_domain.as_ref() == failure_domain {
                 0.0
--- a/crates/core/src/direct/route.rs
+++ b/crates/core/src/direct/route.rs
@@ -72,7 +72,23 @@
     pub is_public: bool,
 }
 
+/// The least time for which callers wait for an event of a stream.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+/// How many times the objective of the first event callers wait for it.
+const FIRST_EVENT_PATIENCE: u32 = 4;
+/// How many times the objective of a pause callers wait for the next event.
+const PAUSE_PATIENCE: u32 = 8;
+
 impl Route {
+    /// Returns how long callers wait for an event of a stream before they leave.
+    pub fn patience(&self) -> Duration {
+        let wanted = self.objectives.map_or(Duration::ZERO, |objectives| {
+            let first_event = objectives.first_event.saturating_mul(FIRST_EVENT_PATIENCE);
+            first_event.max(objectives.pause.saturating_mul(PAUSE_PATIENCE))
+        });
+        wanted.max(MIN_PATIENCE)
+    }
+
     /// Chooses a target by weight among those for which `usable` returns `true`. `chance` is a random number between 0
     /// and 1.
     pub fn target<F>(&self, chance: f64, usable: F) -> Option<&Target>
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -165,3 +165,22 @@
         "the idle slow rank counts as capacity"
     );
 }
+
+// Guards against a slow rank that gets requests because the others are full, and then slows all ranks of its group.
+#[test]
+fn full_ranks_are_preferred_to_a_slow_one() {
+    let mut all = endpoints();
+    Arc::make_mut(&mut all[0]).slowness_percent = 1_200;
+    let mut placement = Placement::default();
+    for endpoint in &all[1..] {
+        for _ in 0..endpoint.slots * 2 {
+            placement.attempt_started(&endpoint.id);
+        }
+    }
+    for chance in 0..1_000 {
+        let chosen = placement.choose(&all, &[], "a", f64::from(chance) / 1_000.0, Time::ZERO);
+        assert_ne!(chosen.expect("an endpoint").id, all[0].id);
+    }
+    let slow_only = placement.choose(&all[..1], &[], "a", 0.5, Time::ZERO);
+    assert_eq!(slow_only.expect("the slow rank serves alone").id, all[0].id);
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -108,11 +108,7 @@
     // Before a connection is opened, which would be for nothing if the budget allows no repeat.
     request::count_attempt(cx, req_cx, &endpoint.service)?;
     cx.restrictions.borrow_mut().rate_limits.spend(&endpoint.id, now);
-    cx.placement.borrow_mut().attempt_started(&endpoint.id);
-    let slot = endpoint_slot::EndpointSlot {
-        cx: Rc::clone(cx),
-        endpoint: Arc::clone(&endpoint),
-    };
+    let slot = endpoint_slot::EndpointSlot::new(cx, &endpoint);
     req_cx.tried.push(Arc::clone(&endpoint.id));
     let is_unsafe = req_cx.call.grant.route.kind == route::RouteKind::Unsafe;
     let need = pool::LeaseNeed {
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -23,8 +23,8 @@
 
 /// The interval at which a stream without new data is checked for a stalled connection.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// The time that another endpoint has to take over a stream from a slow rank, before the stream goes on there.
-const SLOW_RANK_HOLD: Duration = Duration::from_millis(800);
+/// The time by which a stream goes on at its slow rank before its caller leaves, if no other endpoint has taken it over.
+const SLOW_RANK_MARGIN: Duration = Duration::from_millis(250);
 /// The least time between two offers of a stream to other endpoints.
 const MOVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The largest number of chunks that are queued for a slow caller.
@@ -188,7 +188,9 @@
         self.record_failure(&endpoint);
         let next = self.req_cx.attempts.lost();
         self.req_cx.attempt_failed(&self.cx, reason.why(), next);
-        let held = (reason == MoveReason::SlowRank).then_some(SLOW_RANK_HOLD);
+        // A slow rank slows its whole group while it has requests, and its passes may be long.
+        let patience = self.req_cx.call.grant.route.patience();
+        let held = (reason == MoveReason::SlowRank).then(|| patience.saturating_sub(SLOW_RANK_MARGIN));
         let mut waiting = waiting::Waiting::default();
         waiting.push(waiting::WaitingAttempt::stream(
             stream,
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -29,6 +29,9 @@
 /// The interval at which a stream that has just begun is checked for a stalled endpoint.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The interval at which endpoints of silent attempts are checked when no other endpoint is asked.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Why an endpoint that was asked to go on with a stream can't.
 pub(crate) const NO_CONTINUATION: &str = "endpoint answered something else than the rest of the stream";
 
@@ -56,6 +59,7 @@
 
 /// An attempt whose response is waited for.
 pub(crate) struct WaitingAttempt {
+    endpoint: Arc<endpoint::Endpoint>,
     response: Pin<Box<dyn Future<Output = Result<Begun, Lost>>>>,
     /// Until then, only the other attempts are waited for.
     held: Option<Pin<Box<time::Sleep>>>,
@@ -77,7 +81,9 @@
         F: Future<Output = Result<Response<Incoming>, E>> + 'static,
         E: 'static,
     {
+        sent.slot.set_counted(false);
         Self {
+            endpoint: Arc::clone(&sent.slot.endpoint),
             response: Box::pin(wait_for_response(Rc::clone(cx), sent)),
             held: None,
         }
@@ -91,6 +97,8 @@
         deadline: Time,
         held: Option<Duration>,
     ) -> Self {
+        let endpoint = Arc::clone(&stream.slot.endpoint);
+        stream.slot.set_counted(false);
         let silent = SilentStream {
             stream,
             buffer: position.clone(),
@@ -98,6 +106,7 @@
             accepts_end: true,
         };
         Self {
+            endpoint,
             response: Box::pin(silent.wait(deadline)),
             held: held.map(|held| Box::pin(time::sleep(held))),
         }
@@ -143,10 +152,31 @@
     }
 
     /// Waits until one of the attempts goes on, when no other is made. Returns `None` once all have ended.
+    ///
+    /// Those whose endpoints can't be reached are given up: silence alone tells nothing, but such an endpoint doesn't answer, and its
+    /// caller can come back sooner.
     pub(crate) async fn last(&mut self) -> Option<Begun> {
         for attempt in &mut self.attempts {
             attempt.held = None;
         }
+        while !self.attempts.is_empty() {
+            let endpoints: Vec<_> = self.attempts.iter().map(|a| Arc::clone(&a.endpoint)).collect();
+            tokio::select! {
+                biased;
+                begun = self.next_of_all() => return begun,
+                gone = unreachable(endpoints) => self.give_up(&gone),
+            }
+            tokio::select! {
+                biased;
+                begun = self.next_of_all() => return begun,
+                () = time::sleep(PROBE_INTERVAL) => {}
+            }
+        }
+        None
+    }
+
+    /// Waits until one of the attempts goes on. Returns `None` once all have ended.
+    async fn next_of_all(&mut self) -> Option<Begun> {
         future::poll_fn(|task| match self.poll(task) {
             Poll::Ready(begun) => Poll::Ready(Some(begun)),
             Poll::Pending if self.attempts.is_empty() => Poll::Ready(None),
@@ -155,6 +185,18 @@
         .await
     }
 
+    /// Gives up the attempts at the endpoints `gone`.
+    fn give_up(&mut self, gone: &[Arc<endpoint::Endpoint>]) {
+        let is_gone = |attempt: &mut WaitingAttempt| gone.iter().any(|e| e.id == attempt.endpoint.id);
+        for attempt in self.attempts.extract_if(.., is_gone) {
+            self.lost.push(Lost {
+                why: "endpoint can't be reached",
+                endpoint: attempt.endpoint,
+                broken: None,
+            });
+        }
+    }
+
     /// Waits until `stream`, which follows `position`, or one of the others goes on. `may_move` tells whether another endpoint is
     /// to be asked after a silence.
     pub(crate) async fn race<M>(
@@ -186,7 +228,9 @@
                 }
                 Ok(Err(interruption)) => return Race::Lost(interrupted(&silent.stream, interruption)),
                 Err(_) if may_move(&silent.stream) || boot_clock::now() >= deadline => {
+                    silent.stream.slot.set_counted(false);
                     self.attempts.push(WaitingAttempt {
+                        endpoint: Arc::clone(&silent.stream.slot.endpoint),
                         response: Box::pin(silent.wait(deadline)),
                         held: None,
                     });
@@ -225,6 +269,17 @@
     }
 }
 
+/// Returns those of the endpoints that can't be reached.
+async fn unreachable(endpoints: Vec<Arc<endpoint::Endpoint>>) -> Vec<Arc<endpoint::Endpoint>> {
+    let mut gone = Vec::new();
+    for endpoint in endpoints {
+        if pool::Pool::probe(&endpoint).await != pool::Reachability::Accepts {
+            gone.push(endpoint);
+        }
+    }
+    gone
+}
+
 /// Returns whether a response can continue a stream that another endpoint has begun.
 pub(crate) fn is_continuation(parts: &http::response::Parts) -> bool {
     let media_type = parts.headers.get(header::CONTENT_TYPE);
@@ -318,10 +373,13 @@
     async fn wait(mut self, deadline: Time) -> Result<Begun, Lost> {
         let remaining = deadline.since(boot_clock::now());
         match time::timeout(remaining, self.sign()).await {
-            Ok(Ok(())) => Ok(Begun::Stream(Box::new(BegunStream {
-                stream: self.stream,
-                position: self.position,
-            }))),
+            Ok(Ok(())) => {
+                self.stream.slot.set_counted(true);
+                Ok(Begun::Stream(Box::new(BegunStream {
+                    stream: self.stream,
+                    position: self.position,
+                })))
+            }
             Ok(Err(interruption)) => Err(interrupted(&self.stream, interruption)),
             Err(_) => Err(lost(&self.stream, "no answer in time")),
         }
