--- a/crates/core/src/direct/response_class.rs
+++ b/crates/core/src/direct/response_class.rs
@@ -41,6 +41,8 @@
 /// Status of a response from an endpoint other than the intended one, which did not run the request.
 const MISDIRECTED_REQUEST: u16 = 421;
 
+/// The least status of a final response. Those below are interim ones, or change the protocol, which nobody asked for.
+const MIN_FINAL_STATUS: u16 = 200;
 /// Status of a response that consists of a stream of events.
 const OK: u16 = 200;
 
@@ -54,7 +56,7 @@
 pub fn classify(facts: ResponseFacts) -> ResponseClass {
     let is_success = (200..300).contains(&facts.status);
     let is_attributed = facts.matches_attempt.unwrap_or(facts.is_first_response);
-    if !is_attributed {
+    if !is_attributed || facts.status < MIN_FINAL_STATUS {
         ResponseClass::Untrusted
     } else if facts.not_run || facts.status == MISDIRECTED_REQUEST {
         ResponseClass::Refused
--- a/crates/node/src/agent/endpoint_call.rs
+++ b/crates/node/src/agent/endpoint_call.rs
@@ -170,8 +170,13 @@
     deadline: Time,
 ) -> Result<Option<claim::StoredResponse>, ReadError> {
     let status = response.status().as_u16();
-    if is_coded(response.headers()) {
-        let detail = "the endpoint's response has a coding that nobody asked for";
+    let is_final = !response.status().is_informational();
+    if !is_final || is_coded(response.headers()) {
+        let detail = if is_final {
+            "the endpoint's response has a coding that nobody asked for"
+        } else {
+            "the endpoint's status is not a final one"
+        };
         return Err(ReadError::Final(problem::Problem::new(
             problem::ProblemKind::AnswerLost,
             detail,
