Connections end when they read much without a result

Report of other operators: bytes that are no answer, without end, used up the memory of the machine that had called. Memory holds here (64 MB at most over 21 forms), but a gateway served nobody while twelve endpoints sent interim responses or digits of a chunk's length without end: the HTTP library loops over them as long as more has come. A told length of 2^64 was forwarded.

Ruled out: bounds of heads, bodies, trailers, extensions and refusals, which hold in each form.

A length beyond what is read is refused at the head.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -173,6 +173,7 @@
     }
     let req = endpoint_request(cx, &req_cx.call, &slot.endpoint, grant, remaining, position.last_id())?;
     req_cx.attempts.start();
+    lease.renew_read_limit();
     let mut sending = Box::pin(lease.sender().try_send_request(req));
     let response = match wait_for_head(cx, req_cx, &slot.endpoint, sending.as_mut()).await {
         HeadResult::Response(Ok(response)) => response,
--- a/crates/gateway/src/endpoint_stream.rs
+++ b/crates/gateway/src/endpoint_stream.rs
@@ -148,6 +148,7 @@
                 None => return Ok(None),
                 Some(Err(_)) => return Err(Interruption::Broken("stream broke")),
                 Some(Ok(frame)) => {
+                    self.lease.renew_read_limit();
                     if let Ok(bytes) = frame.into_data() {
                         return Ok(Some(bytes));
                     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use sycamorestile_connection::read_limit;
 use sycamorestile_core::direct::{endpoint, retry_share};
 use sycamorestile_core::time;
 use sycamorestile_table::boot_clock;
@@ -64,6 +65,7 @@
 /// An open connection. Dropping it closes the socket immediately.
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    read_limit: read_limit::ReadLimit,
     driver: JoinHandle<()>,
     /// Hashes of the attempts that were sent over it last, up to [`REMEMBERED_ATTEMPTS`].
     attempts: VecDeque<u64>,
@@ -169,6 +171,7 @@
         // A zero linger time discards data that the endpoint has not read when the connection is closed. Otherwise, an
         // endpoint that was suspended could later run a request that the gateway has already abandoned.
         let _reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        let (stream, read_limit) = read_limit::LimitedStream::new(stream);
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -180,6 +183,7 @@
         });
         Ok(Connection {
             sender,
+            read_limit,
             driver,
             attempts: VecDeque::new(),
         })
@@ -260,6 +264,11 @@
         &mut self.connection.sender
     }
 
+    /// Records that a request is sent, or that a part of its response has come.
+    pub(crate) fn renew_read_limit(&self) {
+        self.connection.read_limit.renew();
+    }
+
     /// Keeps the connection for later requests.
     ///
     /// Call this only after a complete response that did not ask to close the connection. `keep_alive` is the time for
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -94,6 +94,7 @@
     slot: endpoint_slot::EndpointSlot,
     response: Response<Incoming>,
 ) -> Received {
+    lease.renew_read_limit();
     let (parts, body) = response.into_parts();
     let head = (cx.header_adapter.read_response)(parts.status, &parts.headers);
     let facts = response_facts(call, &lease, &parts, &head);
@@ -157,12 +158,16 @@
         slot,
     } = open;
     let ends_with_connection = ends_with_connection(&parts.headers, &body);
+    let is_too_long = body.size_hint().lower() > MAX_RESPONSE_BYTES as u64;
     let broken = |why| {
         let now = boot_clock::now();
         cx.placement.borrow_mut().record_failure(&slot.endpoint.id, now);
         Received::Broken(why)
     };
-    let blocks = match read_body(cx, call, reserved, body).await {
+    if is_too_long {
+        return broken("answer too long");
+    }
+    let blocks = match read_body(cx, call, reserved, &lease, body).await {
         ReadBody::Whole(blocks) => blocks,
         ReadBody::Part(blocks, body, share) if class == response_class::ResponseClass::Response => {
             return Received::OpenResponse(Box::new(OpenResponse {
@@ -264,6 +269,7 @@
     cx: &context::GatewayContext,
     call: &call::Call,
     reserved: Option<response_account::Share>,
+    lease: &pool::Lease,
     mut body: Incoming,
 ) -> ReadBody {
     let remaining = call.deadline.since(boot_clock::now());
@@ -278,6 +284,7 @@
         let mut len = 0;
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return None };
+            lease.renew_read_limit();
             let data = frame.data_ref().map_or(&[][..], |d| d.as_ref());
             blocks.push(data);
             len += data.len();
--- a/crates/gateway/src/response_forwarder.rs
+++ b/crates/gateway/src/response_forwarder.rs
@@ -85,7 +85,7 @@
         head: header_adapter::ResponseHead,
     ) {
         let endpoint = Arc::clone(&slot.endpoint);
-        let mut end = self.forward().await;
+        let mut end = self.forward(&lease).await;
         if matches!(end, ResponseEnd::Complete)
             && self.ends_with_connection
             && pool::Pool::refuses_connections(&endpoint).await
@@ -124,7 +124,7 @@
     }
 
     /// Forwards blocks until the body ends.
-    async fn forward(&mut self) -> ResponseEnd {
+    async fn forward(&mut self, lease: &pool::Lease) -> ResponseEnd {
         let cx = Rc::clone(&self.cx);
         let mut ending = std::pin::pin!(cx.ending());
         loop {
@@ -148,6 +148,7 @@
                 Ok(Some(Err(_))) => return ResponseEnd::Broken("answer broke off"),
                 Err(_) => return ResponseEnd::Broken("no answer in time"),
             };
+            lease.renew_read_limit();
             let Ok(data) = frame.into_data() else { continue };
             self.len += data.len();
             if self.len > receive::MAX_RESPONSE_BYTES {
--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use sycamorestile_connection::read_limit;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time;
@@ -68,11 +69,16 @@
     };
     // Avoids delaying small frames until earlier ones are acknowledged. A failure only costs latency.
     let _nodelay = stream.set_nodelay(true);
+    let (stream, read_limit) = read_limit::LimitedStream::new(stream);
+    read_limit.renew();
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(|source| ExchangeError::Broken { addr, source })?;
     tokio::spawn(connection);
     match time::timeout(timeout, sender.send_request(req)).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => {
+            read_limit.lift();
+            Ok(response)
+        }
         Ok(Err(source)) => Err(ExchangeError::Broken { addr, source }),
         Err(_) => Err(ExchangeError::TimedOut { addr }),
     }
--- a/crates/table/src/client.rs
+++ b/crates/table/src/client.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use sycamorestile_connection::read_limit;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -54,6 +55,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    read_limit: read_limit::ReadLimit,
     driver: JoinHandle<()>,
 }
 
@@ -122,10 +124,12 @@
         let req = builder.body(Full::new(body))?;
         let exchange = async {
             connection.sender.ready().await?;
+            connection.read_limit.renew();
             let response = connection.sender.send_request(req).await?;
             let (head, mut body) = response.into_parts();
             let mut bytes = BytesMut::new();
             while let Some(frame) = body.frame().await {
+                connection.read_limit.renew();
                 bytes.extend_from_slice(frame?.data_ref().map_or(&[][..], |d| d.as_ref()));
                 if bytes.len() > MAX_RESPONSE_BYTES {
                     return Err(CallError::ResponseTooLarge);
@@ -155,11 +159,16 @@
         // Nagle's algorithm would delay small requests until earlier ones are acknowledged. The connection also works
         // without the option, so a failure to set it is ignored.
         let _nodelay = stream.set_nodelay(true);
+        let (stream, read_limit) = read_limit::LimitedStream::new(stream);
         let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
         let driver = tokio::task::spawn(async move {
             // An error of the connection is also returned to the call that uses it.
             let _ended = driver.await;
         });
-        Ok(Connection { sender, driver })
+        Ok(Connection {
+            sender,
+            read_limit,
+            driver,
+        })
     }
 }
