--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -27,8 +27,6 @@
 use crate::waiting;
 use crate::withdrawal;
 
-/// The time by which an answer comes before its caller leaves.
-const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// The interval at which a delayed stream checks whether passes are short again.
 const PASS_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -154,7 +152,7 @@
     };
     // No other endpoint is asked, but those that went silent may still answer.
     let last = tokio::select! {
-        last = time::timeout(patience(&req_cx.call), waiting.last()) => last.ok().flatten(),
+        last = waiting.last() => last,
         () = cx.ending() => None,
     };
     req_cx.examine_lost(cx, waiting.take_lost()).await;
@@ -165,19 +163,6 @@
     request::finish(cx, &req_cx, response, reason)
 }
 
-/// Returns how long a request that was offered in vain to other endpoints waits for those that went silent. Nothing of a stream has
-/// reached its caller by then, who can come back if there is an answer before it leaves.
-fn patience(call: &call::Call) -> Duration {
-    let now = boot_clock::now();
-    let remaining = call.deadline.since(now);
-    if call.grant.route.kind.is_stream() {
-        let leaves = call.started + call.grant.route.patience().saturating_sub(ANSWER_MARGIN);
-        remaining.min(leaves.since(now))
-    } else {
-        remaining
-    }
-}
-
 /// Returns the response of an endpoint that had gone silent.
 fn respond_late(
     cx: &Rc<context::GatewayContext>,
