--- /dev/null
+++ b/review/standins-3/cut_answer.rs
@@ -0,0 +1,114 @@
+//! A replica is cut off while it writes answers without a length, crashes behind the cut and starts again; then the cut ends.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::link::Link;
+use crate::replica::{Options, PIECE_BYTES, piece};
+use crate::system::{System, free_addr};
+
+const PIECES: usize = 10;
+/// Number of cuts, of one replica each.
+const CUTS: usize = 12;
+const CUT_TIME: Duration = Duration::from_millis(2_000);
+/// Time from the beginning of a cut to the crash, and to the next start.
+const CRASH_AFTER: Duration = Duration::from_millis(150);
+const START_AFTER: Duration = Duration::from_millis(1_200);
+const BETWEEN_CUTS: Duration = Duration::from_millis(2_000);
+/// Bookings and lookups a second, as on the site's sheet.
+const BOOKINGS_PER_S: f64 = 4.86;
+const LOOKUPS_PER_S: f64 = 3.0;
+
+pub fn run(case: &str) -> i32 {
+    let mut system = System::new(case);
+    let mut links = Vec::new();
+    for index in 0..3 {
+        let (own, listed) = (free_addr(), free_addr());
+        let options = Options {
+            id: format!("ledger-{index}-0"),
+            addr: own.to_string(),
+            work_ms: 60,
+            pieces: PIECES,
+            gap_ms: 40,
+            form: "none".to_owned(),
+            ..Options::default()
+        };
+        system.start_replica("ledger", options, Some(listed));
+        links.push(Link::start(listed, own));
+        system.register(index, "ready");
+    }
+    system.start_idle_models();
+    system.configure();
+    if !system.start_gateways(3) {
+        return 2;
+    }
+    thread::sleep(Duration::from_secs(2));
+    let started = Instant::now();
+    let mut sent = [0_usize; 2];
+    let mut keep_sending = |system: &System, until: Instant| {
+        while Instant::now() < until {
+            let elapsed = started.elapsed().as_secs_f64();
+            let due = [BOOKINGS_PER_S, LOOKUPS_PER_S].map(|rate| (elapsed * rate) as usize);
+            if sent[0] < due[0] {
+                system.send("book", sent[0] % 3, "POST", "/book/slip", 4_000, "");
+                sent[0] += 1;
+            }
+            if sent[1] < due[1] {
+                system.send("look", sent[1] % 3, "GET", "/look/saldo", 4_000, "");
+                sent[1] += 1;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    };
+    for cut in 0..CUTS {
+        keep_sending(&system, Instant::now() + BETWEEN_CUTS);
+        let index = cut % 3;
+        let begin = Instant::now();
+        let former = system.replicas[index].options.id.clone();
+        if system.has_trouble {
+            links[index].cut();
+            system.note(&format!("{former} is cut off"));
+        }
+        keep_sending(&system, begin + CRASH_AFTER);
+        if system.has_trouble {
+            system.kill_replica(index);
+            system.note(&format!("{former} has crashed behind the cut"));
+        }
+        keep_sending(&system, begin + START_AFTER);
+        if system.has_trouble {
+            system.restart_replica(index, &format!("ledger-{index}-{}", cut + 1));
+            system.note(&format!("{} has started at its address", system.replicas[index].options.id));
+        }
+        keep_sending(&system, begin + CUT_TIME);
+        if system.has_trouble {
+            links[index].heal();
+            system.note("the cut has ended");
+            system.register(index, "ready");
+            // The entry of the former process has been silent for three heartbeat intervals soon after.
+            system.store.put("servers", &former, None);
+        }
+    }
+    keep_sending(&system, Instant::now() + BETWEEN_CUTS);
+    system.wait_for_clients();
+    system.write_record();
+    let answers = system.answers.lock().expect("no panic under the lock").clone();
+    let mut broken = 0;
+    for answer in &answers {
+        let Some(message) = answer.message.as_ref().filter(|m| (200..300).contains(&m.status()) && m.complete) else {
+            continue;
+        };
+        let whole: String = (1..=PIECES).map(|number| piece(&answer.attempt, number)).collect();
+        if message.body != whole.as_bytes() {
+            broken += 1;
+            system.note(&format!(
+                "BROKEN: {} got {} with {} bytes, complete, of the replica's {}",
+                answer.attempt,
+                message.status(),
+                message.body.len(),
+                PIECES * PIECE_BYTES
+            ));
+        }
+    }
+    system.note(&format!("{} answers: {}; successes that are not whole: {broken}", answers.len(), system.summary()));
+    i32::from(broken > 0)
+}
