--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod link;
 mod long_prompt;
+mod new_field;
 mod replica;
 mod revoked_key;
 mod store;
@@ -21,6 +22,7 @@
         Some("cut-answer") if args.len() == 2 => cut_answer::run(&args[1]),
         Some("long-prompt") if args.len() == 2 => long_prompt::run(&args[1]),
         Some("revoked-key") if args.len() == 2 => revoked_key::run(&args[1]),
+        Some("new-field") if args.len() == 2 => new_field::run(&args[1]),
         Some("drill") if args.len() == 2 => drill::run(&args[1]),
         _ => 2,
     };
