--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,8 +1,8 @@
 //! Stand-ins and cases of the third review. `main CASE FOLDER` plays a case; it exits with 0 if the rule held, 1 if it was
 //! broken and 2 if the case couldn't run.
 
+mod crashing_request;
 mod cut_answer;
-mod drill;
 mod http;
 mod json;
 mod link;
@@ -23,7 +23,7 @@
         Some("long-prompt") if args.len() == 2 => long_prompt::run(&args[1]),
         Some("revoked-key") if args.len() == 2 => revoked_key::run(&args[1]),
         Some("new-field") if args.len() == 2 => new_field::run(&args[1]),
-        Some("drill") if args.len() == 2 => drill::run(&args[1]),
+        Some("crashing-request") if args.len() == 2 => crashing_request::run(&args[1]),
         _ => 2,
     };
     ExitCode::from(code as u8)
--- a/review/standins-3/replica.rs
+++ b/review/standins-3/replica.rs
@@ -4,7 +4,7 @@
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, SystemTime};
 
@@ -26,6 +26,8 @@
     pub form: String,
     /// The replica crashes when it begins to write an answer on a prompt with this part.
     pub crash_part: String,
+    /// The replica crashes when it begins to run a request with this body.
+    pub crash_body: String,
 }
 
 /// Length of a piece of an answer.
@@ -39,13 +41,13 @@
 
 impl Options {
     pub fn to_args(&self) -> Vec<String> {
-        let texts = [&self.id, &self.addr, &self.log, &self.form, &self.crash_part];
+        let texts = [&self.id, &self.addr, &self.log, &self.form, &self.crash_part, &self.crash_body];
         let numbers = [self.work_ms, self.pieces as u64, self.gap_ms];
         texts.into_iter().cloned().chain(numbers.map(|n| n.to_string())).collect()
     }
 
     pub fn from_args(args: &[String]) -> Option<Self> {
-        let [id, addr, log, form, crash_part, work_ms, pieces, gap_ms] = args else {
+        let [id, addr, log, form, crash_part, crash_body, work_ms, pieces, gap_ms] = args else {
             return None;
         };
         Some(Self {
@@ -54,6 +56,7 @@
             log: log.clone(),
             form: form.clone(),
             crash_part: crash_part.clone(),
+            crash_body: crash_body.clone(),
             work_ms: work_ms.parse().ok()?,
             pieces: pieces.parse().ok()?,
             gap_ms: gap_ms.parse().ok()?,
@@ -65,14 +68,13 @@
     options: Options,
     log: File,
     running: AtomicUsize,
-    is_leaving: AtomicBool,
 }
 
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64)
 }
 
-/// Runs the replica until it is killed. The line `leave` on standard input begins its leaving.
+/// Runs the replica until it is killed or its standard input ends.
 pub fn run(options: Options) -> i32 {
     let Ok(listener) = TcpListener::bind(&options.addr) else {
         return 2;
@@ -80,15 +82,10 @@
     let Ok(log) = OpenOptions::new().create(true).append(true).open(&options.log) else {
         return 2;
     };
-    let replica = Arc::new(Replica { options, log, running: AtomicUsize::new(0), is_leaving: AtomicBool::new(false) });
-    let leaving = Arc::clone(&replica);
-    thread::spawn(move || {
-        for line in std::io::stdin().lines().map_while(Result::ok) {
-            if line == "leave" {
-                leaving.is_leaving.store(true, Ordering::SeqCst);
-            }
-        }
-        // The process that started this one has ended.
+    let replica = Arc::new(Replica { options, log, running: AtomicUsize::new(0) });
+    thread::spawn(|| {
+        // Ends when the process that started this one does.
+        let _read = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
         std::process::exit(0);
     });
     for stream in listener.incoming().flatten() {
@@ -138,14 +135,17 @@
             self.note("crashes", attempt);
             std::process::exit(3);
         }
-        let leaving = if self.is_leaving.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" };
+        if !options.crash_body.is_empty() && req.body == options.crash_body.as_bytes() {
+            self.note("crashes", attempt);
+            std::process::exit(3);
+        }
         let framing = match options.form.as_str() {
             "length" => format!("Content-Length: {}\r\n", options.pieces * PIECE_BYTES),
             "events" => "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n".to_owned(),
             _ => String::new(),
         };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Replica-Signature: {}.1\r\nX-Replica-Load: {running},0,12\r\n{leaving}{framing}\r\n",
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Replica-Signature: {}.1\r\nX-Replica-Load: {running},0,12\r\n{framing}\r\n",
             options.id
         );
         stream.write_all(head.as_bytes())?;
--- a/review/standins-3/system.rs
+++ b/review/standins-3/system.rs
@@ -19,7 +19,6 @@
 pub const KEY: &str = "key-of-counter-7";
 /// Bounds of the site, in milliseconds.
 pub const CONTACT_MS: u64 = 3_000;
-pub const DRAIN_MS: u64 = 2_000;
 
 static PORT: AtomicU16 = AtomicU16::new(0);
 
@@ -244,12 +243,6 @@
         wait_until_listening(replica.options.addr.parse().expect("an address"));
     }
 
-    pub fn tell_replica(&mut self, index: usize, line: &str) {
-        if let Some(stdin) = self.replicas[index].child.stdin.as_mut() {
-            let _told = writeln!(stdin, "{line}").and_then(|()| stdin.flush());
-        }
-    }
-
     /// Writes the entry of a replica.
     pub fn register(&self, index: usize, state: &str) {
         let r = &self.replicas[index];
@@ -265,6 +258,11 @@
         self.send_with_key(kind, gateway, method, path, deadline_ms, headers, KEY)
     }
 
+    /// Sends a POST request with this body, or with one of its own.
+    pub fn send_body(&self, kind: &'static str, gateway: usize, path: &str, deadline_ms: u64, headers: &str, body: Option<&str>) -> String {
+        self.send_all(kind, gateway, "POST", path, deadline_ms, headers, KEY, body)
+    }
+
     /// The same with another key.
     #[allow(clippy::too_many_arguments)]
     pub fn send_with_key(
@@ -276,9 +274,25 @@
         deadline_ms: u64,
         headers: &str,
         key: &str,
+    ) -> String {
+        self.send_all(kind, gateway, method, path, deadline_ms, headers, key, None)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn send_all(
+        &self,
+        kind: &'static str,
+        gateway: usize,
+        method: &str,
+        path: &str,
+        deadline_ms: u64,
+        headers: &str,
+        key: &str,
+        body: Option<&str>,
     ) -> String {
         let attempt = format!("{kind}-{:05}", self.next_attempt.fetch_add(1, Ordering::SeqCst));
-        let body = if method == "GET" { String::new() } else { format!("slip={attempt}&cents=25") };
+        let own_body = || if method == "GET" { String::new() } else { format!("slip={attempt}&cents=25") };
+        let body = body.map_or_else(own_body, str::to_owned);
         let text = format!(
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {key}\r\nConnection: close\r\n{headers}Content-Length: {}\r\n\r\n{body}",
             body.len()
