--- a/review/standins-3/cut_answer.rs
+++ b/review/standins-3/cut_answer.rs
@@ -12,7 +12,7 @@
 
 const PIECES: usize = 10;
 /// Time between two pieces, in milliseconds.
-const GAP_MS: u64 = 90;
+const GAP_MS: u64 = 150;
 /// Number of crashes, of one replica each.
 const CRASHES: usize = 36;
 /// The same with cuts, which take longer.
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -17,7 +17,8 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let code = match args.first().map(String::as_str) {
+    // A case that can't run ends with a panic.
+    let played = std::panic::catch_unwind(|| match args.first().map(String::as_str) {
         Some("replica") => replica::Options::from_args(&args[1..]).map_or(2, replica::run),
         Some("cut-answer") if args.len() == 2 => cut_answer::run(&args[1]),
         Some("long-prompt") if args.len() == 2 => long_prompt::run(&args[1]),
@@ -25,6 +26,6 @@
         Some("new-field") if args.len() == 2 => new_field::run(&args[1]),
         Some("crashing-request") if args.len() == 2 => crashing_request::run(&args[1]),
         _ => 2,
-    };
-    ExitCode::from(code as u8)
+    });
+    ExitCode::from(played.unwrap_or(2) as u8)
 }
