--- a/review/standins-3/cut_answer.rs
+++ b/review/standins-3/cut_answer.rs
@@ -1,7 +1,6 @@
-//! A replica is killed while it writes answers without a length, and starts again.
+//! A replica is cut off while it writes answers without a length, is killed behind the cut and starts again; then the cut ends.
 //!
-//! With `CUT=1`, it is also cut off shortly before, and starts again behind the cut; then the cut ends. Only then is there a link
-//! between the gateways and the replicas.
+//! With `KILL=1`, nothing is cut: the replica is only killed, and starts again. Then there is no link between it and the gateways.
 
 use std::thread;
 use std::time::{Duration, Instant};
@@ -10,9 +9,11 @@
 use crate::replica::{Options, PIECE_BYTES, piece};
 use crate::system::{System, free_addr};
 
+/// Number of the ledger's replicas, so that one of them is a share that the site file names.
+const LEDGERS: usize = 6;
 const PIECES: usize = 10;
 /// Time between two pieces, in milliseconds.
-const GAP_MS: u64 = 150;
+const GAP_MS: u64 = 270;
 /// Number of crashes, of one replica each.
 const CRASHES: usize = 36;
 /// The same with cuts, which take longer.
@@ -21,6 +22,8 @@
 const CUT_TIME: Duration = Duration::from_millis(2_000);
 const CRASH_AFTER: Duration = Duration::from_millis(150);
 const START_AFTER: Duration = Duration::from_millis(1_200);
+/// Time from a crash until the entry of the process is removed: three heartbeat intervals.
+const ENTRY_TIME: Duration = Duration::from_millis(3_600);
 const BETWEEN_CRASHES: Duration = Duration::from_millis(1_100);
 /// Bookings and lookups a second, as on the site's sheet.
 const BOOKINGS_PER_S: f64 = 4.86;
@@ -28,9 +31,9 @@
 
 pub fn run(case: &str) -> i32 {
     let mut system = System::new(case);
-    let cuts = std::env::var("CUT").as_deref() == Ok("1");
+    let cuts = std::env::var("KILL").as_deref() != Ok("1");
     let mut links = Vec::new();
-    for index in 0..3 {
+    for index in 0..LEDGERS {
         let (own, listed) = (free_addr(), free_addr());
         let options = Options {
             id: format!("ledger-{index}-0"),
@@ -54,6 +57,7 @@
     }
     thread::sleep(Duration::from_secs(2));
     let started = Instant::now();
+    let mut entries: Vec<(Instant, String)> = Vec::new();
     let mut sent = [0_usize; 2];
     let mut keep_sending = |system: &System, until: Instant| {
         while Instant::now() < until {
@@ -72,7 +76,11 @@
     };
     for crash in 0..if cuts { CRASHES_BEHIND_CUTS } else { CRASHES } {
         keep_sending(&system, Instant::now() + BETWEEN_CRASHES);
-        let index = crash % 3;
+        for (_, id) in entries.iter().filter(|(at, _)| *at <= Instant::now()) {
+            system.store.put("servers", id, None);
+        }
+        entries.retain(|(at, _)| *at > Instant::now());
+        let index = crash % LEDGERS;
         let begin = Instant::now();
         let former = system.replicas[index].options.id.clone();
         if system.has_trouble && cuts {
@@ -96,8 +104,7 @@
         }
         if system.has_trouble {
             system.register(index, "ready");
-            // The entry of the former process has been silent for three heartbeat intervals soon after.
-            system.store.put("servers", &former, None);
+            entries.push((Instant::now() + ENTRY_TIME - if cuts { CUT_TIME - CRASH_AFTER } else { START_AFTER }, former));
         }
     }
     keep_sending(&system, Instant::now() + BETWEEN_CRASHES);
--- a/review/standins-3/long_prompt.rs
+++ b/review/standins-3/long_prompt.rs
@@ -52,7 +52,7 @@
             let own = format!("{:08x}:40", unix_ms() as u32 ^ (number as u32) << 20);
             let prefix = shared.iter().map(String::as_str).chain([part, own.as_str()].into_iter().filter(|p| !p.is_empty()));
             let prefix: Vec<&str> = prefix.collect();
-            let headers = format!("X-Model: m\r\nX-Token-Usage: {},156\r\nX-Prompt-Prefix: {}\r\n", shared_parts * 17 + 57, prefix.join(","));
+            let headers = format!("X-Model: m\r\nX-Token-Usage: {},156\r\nX-Prompt-Prefix: {}\r\n", shared_parts * 17 + 40 + if part.is_empty() { 0 } else { 17 }, prefix.join(","));
             system.send(kind, number % GATEWAYS, "POST", "/ask/why", 8_000, &headers);
         };
         if sound < (elapsed.as_secs_f64() * SOUND_PER_S) as usize {
