--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -75,6 +75,8 @@
     crashes: Vec<crash::Crash>,
     /// Number of reports of this instance that were news to it.
     own_reports: u64,
+    /// Number of suspects of crashes that there was no room for.
+    left_out: u64,
     /// Number of times at which the verdict was determined.
     verdict_count: u64,
     /// Proofs that this instance has seen.
@@ -144,6 +146,7 @@
             counts_each_crash,
             crashes: Vec::new(),
             own_reports: 0,
+            left_out: 0,
             verdict_count: 0,
             own_proofs: proofs::Proofs::default(),
             told_proofs: proofs::Proofs::default(),
@@ -299,6 +302,11 @@
         self.verdicts.dropped()
     }
 
+    /// Returns how many suspects of crashes there was no room for.
+    pub fn left_out_suspects(&self) -> u64 {
+        self.left_out
+    }
+
     /// Forgets what is too old and judges again. Call this regularly.
     pub fn refresh(&mut self, now: time::Time) {
         let now = shifted(now);
@@ -470,6 +478,7 @@
             // One that no answer has proved sound is the more likely cause.
             let is_full = crash.suspects.len() >= MAX_SUSPECTS;
             if is_full && (is_proved(segment) || !crash.remove_suspect(is_proved)) {
+                self.left_out += 1;
                 continue;
             }
             crash.add_suspect(segment, owner);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -17,6 +17,8 @@
 /// A caller's request that was read completely and authorized.
 pub(crate) struct Call {
     pub(crate) head: header_adapter::CallHead,
+    /// Number of shared segments that the head names and that are not judged.
+    pub(crate) unjudged_segments: usize,
     pub(crate) grant: access::Grant,
     pub(crate) method: Method,
     /// The path and query, unchanged.
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -58,7 +58,7 @@
     let is_news = record_crash(cx, &endpoint.id, &call.suspects(), boot_clock::now());
     info!(cx.log, "endpoint crashed at the beginning of a response";
         "request" => call.id(), "endpoint" => endpoint.id.as_ref(), "segments" => call.head.shared_segments.join(","),
-        "content" => call.content.as_ref(),
+        "unjudged_segments" => call.unjudged_segments, "content" => call.content.as_ref(),
         "written_ms" => progress.written_for.as_millis() as u64, "news" => is_news);
     true
 }
@@ -238,11 +238,12 @@
     let mut crashes = cx.crashes.borrow_mut();
     let state_of = |crashes: &crash_record::CrashRecord, suspect| {
         let evidence = crashes.evidence(suspect);
-        (evidence.quarantines().to_vec(), evidence.dropped_quarantines())
+        let counts = (evidence.dropped_quarantines(), evidence.left_out_suspects());
+        (evidence.quarantines().to_vec(), counts)
     };
     let before = crash_record::Suspect::ALL.map(|suspect| state_of(&crashes, suspect));
     let result = change(&mut crashes);
-    for (suspect, (former, dropped_before)) in crash_record::Suspect::ALL.into_iter().zip(before) {
+    for (suspect, (former, (dropped_before, left_out_before))) in crash_record::Suspect::ALL.into_iter().zip(before) {
         let evidence = crashes.evidence(suspect);
         report_changes(cx, suspect, &former, evidence);
         let dropped = evidence.dropped_quarantines() - dropped_before;
@@ -250,6 +251,10 @@
             warn!(cx.log, "no room for all quarantines of {}s", name(suspect); "dropped" => dropped);
             cx.metrics.record_dropped_quarantines(dropped);
         }
+        let left_out = evidence.left_out_suspects() - left_out_before;
+        if left_out > 0 {
+            cx.metrics.record_left_out_suspects(left_out);
+        }
     }
     result
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -106,11 +106,19 @@
     let path = parts.uri.path().to_owned();
     let host_header = parts.headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let host = host_header.or(parts.uri.host()).unwrap_or_default().to_owned();
-    let head = match (cx.header_adapter.read_call)(&parts.headers) {
-        Ok(head) => header_adapter::CallHead {
-            shared_segments: crash_evidence::bounded_segments(head.shared_segments),
-            ..head
-        },
+    let (head, unjudged_segments) = match (cx.header_adapter.read_call)(&parts.headers) {
+        Ok(head) => {
+            let named = head.shared_segments.len();
+            let shared_segments = crash_evidence::bounded_segments(head.shared_segments);
+            let unjudged = named - shared_segments.len();
+            (
+                header_adapter::CallHead {
+                    shared_segments,
+                    ..head
+                },
+                unjudged,
+            )
+        }
         Err(error) => {
             discard_body(body);
             return Err(Refusal {
@@ -171,6 +179,7 @@
     Ok(call::Call {
         content: content.identifier(),
         head,
+        unjudged_segments,
         grant,
         method: parts.method,
         target,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -62,6 +62,7 @@
     quarantined_segments: Gauge,
     quarantined_requests: Gauge,
     dropped_quarantines: Counter,
+    left_out_suspects: Counter,
     quarantine_tests: Counter,
     withheld_requests: Family<CauseLabels, Counter>,
     pauses: Counter,
@@ -152,6 +153,11 @@
                 "dropped_quarantines",
                 "Quarantines that ended early or were not kept for want of room",
             ),
+            left_out_suspects: new(
+                &mut registry,
+                "crash_suspects_left_out",
+                "Suspects of crashes that are not judged for want of room",
+            ),
             withheld_requests: new(
                 &mut registry,
                 "withheld_requests",
@@ -277,6 +283,11 @@
         self.dropped_quarantines.inc_by(count);
     }
 
+    /// Counts suspects of crashes that are not judged for want of room.
+    pub(crate) fn record_left_out_suspects(&self, count: u64) {
+        self.left_out_suspects.inc_by(count);
+    }
+
     /// Counts a request that is refused because no endpoint takes requests from this instance.
     pub(crate) fn record_withheld_request(&self, cause: &str) {
         let labels = CauseLabels {
