--- a/crates/core/src/direct/declarations.rs
+++ b/crates/core/src/direct/declarations.rs
@@ -1,10 +1,8 @@
 //! One version of the operators' declarations, in the form that a gateway uses.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::direct::credentials;
-use crate::direct::expert_model;
 use crate::direct::route_table;
 
 /// Limits on the size and duration of callers' requests.
@@ -32,15 +30,6 @@
     }
 }
 
-/// A declared service.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DirectService {
-    /// Name of the service.
-    pub name: Arc<str>,
-    /// Expert layout; present for model services whose ranks hold experts.
-    pub experts: Option<expert_model::ExpertModel>,
-}
-
 /// One version of the declarations.
 #[derive(Debug, Clone, Default)]
 pub struct Declarations {
@@ -48,18 +37,8 @@
     pub version: u64,
     /// Routes of all hosts.
     pub routes: route_table::RouteTable,
-    /// Services, sorted by name.
-    pub services: Vec<DirectService>,
     /// API keys of organisations; `None` when no route requires a key.
     pub credentials: Option<credentials::Credentials>,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
 }
-
-impl Declarations {
-    /// Returns the service named `name`.
-    pub fn service(&self, name: &str) -> Option<&DirectService> {
-        let at = self.services.binary_search_by(|s| s.name.as_ref().cmp(name)).ok()?;
-        self.services.get(at)
-    }
-}
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -131,7 +131,7 @@
 ) -> bool {
     let is_news = update(cx, |crashes| crashes.record_crash(endpoint, suspects, at));
     if is_news {
-        cx.metrics.record_crash();
+        cx.metrics.crashes.record_crash();
         cx.fact_news.notify_one();
     }
     is_news
@@ -160,7 +160,7 @@
         crash_record::Admission::Admitted => Ok(None),
         crash_record::Admission::Trial(tested) => {
             warn!(cx.log, "testing a quarantine"; "request" => call.id(), "suspect" => tested.as_ref());
-            cx.metrics.record_test();
+            cx.metrics.crashes.record_test();
             Ok(Some(Test {
                 cx: Rc::clone(cx),
                 tested,
@@ -249,11 +249,11 @@
         let dropped = evidence.dropped_quarantines() - dropped_before;
         if dropped > 0 {
             warn!(cx.log, "no room for all quarantines of {}s", name(suspect); "dropped" => dropped);
-            cx.metrics.record_dropped_quarantines(dropped);
+            cx.metrics.crashes.record_dropped_quarantines(dropped);
         }
         let left_out = evidence.left_out_suspects() - left_out_before;
         if left_out > 0 {
-            cx.metrics.record_left_out_suspects(left_out);
+            cx.metrics.crashes.record_left_out_suspects(left_out);
         }
     }
     result
@@ -286,7 +286,7 @@
             log_key => quarantine.suspect.as_ref(), "proved_ms_ago" => proof_age(quarantine));
     }
     match suspect {
-        crash_record::Suspect::Request => cx.metrics.set_quarantined_requests(after.len()),
-        crash_record::Suspect::Segment => cx.metrics.set_quarantined_segments(after.len()),
+        crash_record::Suspect::Request => cx.metrics.crashes.set_quarantined_requests(after.len()),
+        crash_record::Suspect::Segment => cx.metrics.crashes.set_quarantined_segments(after.len()),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod context;
 mod control;
 mod control_state;
+mod crash_metrics;
 mod crash_watch;
 mod endpoint_facts;
 mod endpoint_slot;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Metric, Registry};
 
+use crate::crash_metrics;
+
 /// The largest number of organisations with their own label. All others share [`OTHER_ORGANISATION`].
 const MAX_ORGANISATIONS: usize = 50;
 /// The label of organisations beyond [`MAX_ORGANISATIONS`].
@@ -58,12 +60,8 @@
     withheld_repeats: Counter,
     silent_attempts: Family<SilentLabels, Counter>,
     connects: Counter,
-    crashes: Counter,
-    quarantined_segments: Gauge,
-    quarantined_requests: Gauge,
-    dropped_quarantines: Counter,
-    left_out_suspects: Counter,
-    quarantine_tests: Counter,
+    /// Metrics of crashes of endpoints.
+    pub(crate) crashes: crash_metrics::CrashMetrics,
     withheld_requests: Family<CauseLabels, Counter>,
     pauses: Counter,
     paused_endpoints: Gauge,
@@ -91,7 +89,7 @@
 }
 
 /// Registers a new metric.
-fn new<M>(registry: &mut Registry, name: &str, help: &str) -> M
+pub(crate) fn new<M>(registry: &mut Registry, name: &str, help: &str) -> M
 where
     M: Metric + Clone + Default,
 {
@@ -128,36 +126,7 @@
                 "Attempts that went silent, by what became of their requests",
             ),
             connects: new(&mut registry, "connects", "Connections opened to endpoints"),
-            crashes: new(
-                &mut registry,
-                "endpoint_crashes",
-                "Reports of endpoints that crashed at the beginning of a response",
-            ),
-            quarantined_segments: new(
-                &mut registry,
-                "quarantined_segments",
-                "Prompt segments that are quarantined because endpoints crash on them",
-            ),
-            quarantined_requests: new(
-                &mut registry,
-                "quarantined_requests",
-                "Requests, by their content, that are quarantined because endpoints crash on them",
-            ),
-            quarantine_tests: new(
-                &mut registry,
-                "quarantine_tests",
-                "Requests that were sent to test whether what is quarantined crashes endpoints",
-            ),
-            dropped_quarantines: new(
-                &mut registry,
-                "dropped_quarantines",
-                "Quarantines that ended early or were not kept for want of room",
-            ),
-            left_out_suspects: new(
-                &mut registry,
-                "crash_suspects_left_out",
-                "Suspects of crashes that are not judged for want of room",
-            ),
+            crashes: crash_metrics::CrashMetrics::new(&mut registry),
             withheld_requests: new(
                 &mut registry,
                 "withheld_requests",
@@ -248,21 +217,6 @@
         self.connects.inc();
     }
 
-    /// Counts a crash of an endpoint that this gateway reports.
-    pub(crate) fn record_crash(&self) {
-        self.crashes.inc();
-    }
-
-    /// Sets the number of quarantined segments.
-    pub(crate) fn set_quarantined_segments(&self, count: usize) {
-        self.quarantined_segments.set(count as i64);
-    }
-
-    /// Sets the number of quarantined requests.
-    pub(crate) fn set_quarantined_requests(&self, count: usize) {
-        self.quarantined_requests.set(count as i64);
-    }
-
     /// Sets the number of bytes of responses that wait for their callers.
     pub(crate) fn set_held_response_bytes(&self, count: usize) {
         self.held_response_bytes.set(count as i64);
@@ -273,21 +227,6 @@
         self.open_responses.inc();
     }
 
-    /// Counts a request that tests a quarantine.
-    pub(crate) fn record_test(&self) {
-        self.quarantine_tests.inc();
-    }
-
-    /// Counts quarantines that ended early or were not kept for want of room.
-    pub(crate) fn record_dropped_quarantines(&self, count: u64) {
-        self.dropped_quarantines.inc_by(count);
-    }
-
-    /// Counts suspects of crashes that are not judged for want of room.
-    pub(crate) fn record_left_out_suspects(&self, count: u64) {
-        self.left_out_suspects.inc_by(count);
-    }
-
     /// Counts a request that is refused because no endpoint takes requests from this instance.
     pub(crate) fn record_withheld_request(&self, cause: &str) {
         let labels = CauseLabels {
