--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -18,7 +18,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::{crash, crash_facts, crash_tally, merged, owner, proofs, quarantine, trials, verdicts};
+use crate::direct::{
+    crash, crash_facts, crash_tally, folded_set, merged, owner, proofs, quarantine, ties, trials, verdicts,
+};
 use crate::time;
 
 /// Time for which an answer must have been written to prove that its segments are sound. An endpoint crashes within a
@@ -35,8 +37,6 @@
 const MAX_TELLING_CRASHES: usize = 2;
 /// Number of moments from which a suspect with partners is tested no more, so that at most three crashes follow the fifth.
 const MAX_TESTED_MOMENTS: usize = 7;
-/// Period within which crashes belong to one moment. They may have one cause and are not independent evidence.
-const MOMENT: Duration = Duration::from_millis(500);
 /// Age at which crashes and proofs are forgotten. A quarantine ends by this.
 pub const MEMORY: Duration = Duration::from_secs(600);
 /// Upper bound of the number of crashes kept.
@@ -45,18 +45,22 @@
 const MAX_CRASH_WEIGHT: usize = 16;
 /// Number of crashes of one moment that count for this.
 const MAX_WEIGHT_OF_MOMENT: usize = 6;
-/// Upper bound of the number of suspected segments kept for each crash.
-const MAX_SUSPECTS: usize = 16;
-/// Number of segments of one request that are considered.
-const MAX_SEGMENTS: usize = 32;
-/// Length up to which identifiers of segments are told apart, in bytes.
+/// Upper bound of the number of suspects kept for all crashes together. A head of 16 KB names up to some 5,000.
+const MAX_SUSPECTS: usize = 32 << 10;
+/// Length up to which identifiers of segments are kept as they are, in bytes.
 const MAX_SEGMENT_BYTES: usize = 64;
+/// Length of the beginning that is kept of longer ones, in bytes. A digest follows.
+const SEGMENT_PREFIX_BYTES: usize = 44;
 /// Upper bound of the encoded length of the facts told at once, so that those about segments and those about requests
 /// fit into one datagram.
 const MAX_FACTS_BYTES: usize = 12 << 10;
 /// The part of it for quarantines without crashes.
 const MAX_VERDICT_BYTES: usize = 3 << 10;
-/// Upper bound of the encoded length of such quarantines in a row of the table.
+/// Upper bound of the encoded length of folded proofs, which a datagram has besides.
+const MAX_PROVED_BYTES: usize = 9 << 9;
+/// Upper bound of the number of folded proofs of others that are kept.
+const MAX_PROVED_SETS: usize = 16;
+/// Upper bound of the encoded length of quarantines without crashes in a row of the table.
 const MAX_ROW_VERDICT_BYTES: usize = 19 << 10;
 /// Upper bound of the number of quarantines of others for which a refutation is told.
 const MAX_REFUTED: usize = 8;
@@ -71,18 +75,22 @@
     /// Whether each crash of a moment counts, if most of them had the suspect. A request is at one endpoint at a time, so
     /// that it was sent again after the first crash.
     counts_each_crash: bool,
-    /// At most [`MAX_CRASHES`], with [`MAX_SUSPECTS`] each.
+    /// At most [`MAX_CRASHES`], with [`MAX_SUSPECTS`] in all.
     crashes: Vec<crash::Crash>,
     /// Number of reports of this instance that were news to it.
     own_reports: u64,
     /// Number of suspects of crashes that there was no room for.
     left_out: u64,
+    /// Number of times at which facts were told.
+    rounds: usize,
     /// Number of times at which the verdict was determined.
     verdict_count: u64,
     /// Proofs that this instance has seen.
     own_proofs: proofs::Proofs,
     /// Proofs that others have seen; only of suspected segments.
     told_proofs: proofs::Proofs,
+    /// Folded proofs that others have told and when they were seen; at most [`MAX_PROVED_SETS`], the newest last.
+    told_sets: Vec<(folded_set::FoldedSet, time::Time)>,
     /// Endpoints whose crashes something else explains, sorted.
     explained: Vec<Arc<str>>,
     /// Quarantines whose crashes are gone, or some of them.
@@ -97,16 +105,16 @@
     suspicions: Vec<(Arc<str>, usize)>,
 }
 
-/// Returns the segments of a request by which crashes are judged, in bounded space. Callers choose the identifiers.
+/// Returns the segments of a request by which crashes are judged, sorted and each once. Callers choose the identifiers; long ones are
+/// replaced by shorter ones that tell them apart as well.
 pub fn bounded_segments(mut segments: Vec<Arc<str>>) -> Vec<Arc<str>> {
-    segments.truncate(MAX_SEGMENTS);
-    for segment in &mut segments {
-        if segment.len() > MAX_SEGMENT_BYTES {
-            let is_within = |(at, c): &(usize, char)| at + c.len_utf8() <= MAX_SEGMENT_BYTES;
-            let bounded: String = segment.char_indices().take_while(is_within).map(|(_, c)| c).collect();
-            *segment = Arc::from(bounded);
-        }
+    for segment in segments.iter_mut().filter(|s| s.len() > MAX_SEGMENT_BYTES) {
+        let prefix_len = (0..=SEGMENT_PREFIX_BYTES).rfind(|&len| segment.is_char_boundary(len));
+        let prefix = &segment[..prefix_len.unwrap_or_default()];
+        *segment = Arc::from(format!("{prefix}~{:016x}", folded_set::digest(segment)));
     }
+    segments.sort_unstable();
+    segments.dedup();
     segments
 }
 
@@ -147,9 +155,11 @@
             crashes: Vec::new(),
             own_reports: 0,
             left_out: 0,
+            rounds: 0,
             verdict_count: 0,
             own_proofs: proofs::Proofs::default(),
             told_proofs: proofs::Proofs::default(),
+            told_sets: Vec::new(),
             explained: Vec::new(),
             verdicts: verdicts::Verdicts::default(),
             refuted: Vec::new(),
@@ -161,11 +171,9 @@
     /// Records that an answer proved `segments` sound.
     pub fn record_proof(&mut self, segments: &[Arc<str>], now: time::Time) {
         let now = shifted(now);
-        for segment in segments {
-            self.own_proofs.record(segment, now);
-        }
-        let is_held_against = |s: &Arc<str>| is_suspected(&self.crashes, s) || self.verdicts.contains(s);
-        if segments.iter().any(is_held_against) {
+        let is_held_against = segments.iter().any(|s| self.is_held_against(s));
+        self.own_proofs.record(segments.iter().map(AsRef::as_ref), now);
+        if is_held_against {
             self.judge(now);
         }
     }
@@ -180,8 +188,9 @@
         now: time::Time,
     ) -> bool {
         let now = shifted(now);
-        let suspects = segments.iter().map(|s| (s, owner));
-        let is_news = self.add_crash(endpoint, suspects, now, now);
+        let suspects: Vec<_> = segments.iter().map(|s| (Arc::clone(s), owner)).collect();
+        self.unfold_all(&suspects, now);
+        let is_news = self.add_crash(endpoint, suspects, &[], now, now);
         self.own_reports += u64::from(is_news);
         self.judge(now);
         is_news
@@ -260,11 +269,8 @@
     /// may have crashed the former one.
     pub fn allows_repeat(&self, segments: &[Arc<str>]) -> bool {
         segments.iter().all(|segment| {
-            let at = self.suspicions.binary_search_by(|(s, _)| s.cmp(segment));
-            let moments = at.map_or(0, |at| self.suspicions[at].1);
-            let is_quarantined = self.quarantined.binary_search_by(|q| q.suspect.cmp(segment)).is_ok();
             // One moment less than a quarantine takes.
-            !is_quarantined && moments + 1 < self.min_moments(segment)
+            !self.is_quarantined(segment) && self.suspected_moments(segment) + 1 < self.min_moments(segment)
         })
     }
 
@@ -285,7 +291,7 @@
         let mut rest = times.as_slice();
         let mut weight = 0;
         while let Some(first) = rest.first() {
-            let (moment, later) = rest.split_at(rest.partition_point(|at| at.since(*first) <= MOMENT));
+            let (moment, later) = rest.split_at(rest.partition_point(|at| at.since(*first) <= crash_tally::MOMENT));
             weight += moment.len().min(MAX_WEIGHT_OF_MOMENT);
             rest = later;
         }
@@ -309,23 +315,23 @@
 
     /// Forgets what is too old and judges again. Call this regularly.
     pub fn refresh(&mut self, now: time::Time) {
-        let now = shifted(now);
-        if self.crashes.is_empty() && self.own_proofs.is_empty() && self.verdicts.all().is_empty() {
+        let (oldest, now) = (now, shifted(now));
+        self.own_proofs.discard_before(oldest);
+        self.told_proofs.discard_before(oldest);
+        self.told_sets.retain(|(_, at)| *at > oldest);
+        if self.crashes.is_empty() && self.verdicts.all().is_empty() {
             return;
         }
         self.crashes.retain(|c| now.since(c.at) < MEMORY);
-        self.own_proofs.retain(|_, at| now.since(at) < MEMORY);
-        let (crashes, verdicts) = (&self.crashes, &self.verdicts);
-        self.told_proofs.retain(|segment, at| {
-            now.since(at) < MEMORY && (is_suspected(crashes, segment) || verdicts.contains(segment))
-        });
         self.judge(now);
     }
 
     /// Returns what to tell other instances in a datagram, up to [`MAX_FACTS_BYTES`]. Crashes that support a quarantine
     /// come first, then the newest.
     pub fn facts(&mut self, now: time::Time) -> crash_facts::CrashFacts {
-        self.facts_within(now, MAX_VERDICT_BYTES)
+        let mut facts = self.facts_within(now, MAX_VERDICT_BYTES);
+        facts.proved = self.proved_sets(shifted(now));
+        facts
     }
 
     /// Returns what to write to the table.
@@ -344,27 +350,46 @@
             verdict_count: self.verdicts.all().len(),
             ..crash_facts::CrashFacts::default()
         };
+        let max_bytes = MAX_FACTS_BYTES - MAX_VERDICT_BYTES;
         let mut bytes = 0;
         for crash in by_weight {
-            let fact = crash_facts::CrashFact {
-                endpoint: Arc::clone(&crash.endpoint),
-                age_ms: now.since(crash.at).as_millis() as u64,
-                suspects: crash.suspects.clone(),
-                owners: crash.owners.clone(),
-            };
-            let proofs = self.proof_facts(&crash.suspects, now);
-            bytes += fact.encoded_len() + proofs.iter().map(crash_facts::ProofFact::encoded_len).sum::<usize>();
-            if bytes > MAX_FACTS_BYTES - MAX_VERDICT_BYTES {
+            let mut fact = self.fact_of(crash, now);
+            // One that is too large is told in parts, which take turns.
+            let parts = fact.folded.len().max(1);
+            fact.folded.rotate_left(self.rounds % parts);
+            let proofs = self.proof_facts(&fact.suspects, now);
+            let proofs_len = proofs.iter().map(crash_facts::ProofFact::encoded_len).sum::<usize>();
+            while fact.encoded_len() + proofs_len > max_bytes && fact.folded.pop().is_some() {}
+            let len = fact.encoded_len() + proofs_len;
+            if bytes + len > max_bytes {
                 break;
             }
+            bytes += len;
             facts.crashes.push(fact);
             facts.proofs.extend(proofs);
         }
+        self.rounds = self.rounds.wrapping_add(1);
         facts.proofs.sort_by(|a, b| a.segment.cmp(&b.segment));
         facts.proofs.dedup();
         facts
     }
 
+    /// Returns what to tell others of `crash`.
+    fn fact_of(&self, crash: &crash::Crash, now: time::Time) -> crash_facts::CrashFact {
+        let is_quarantined = |s: &Arc<str>| self.is_quarantined(s);
+        let explained =
+            (crash.is_crowded() && self.is_explained(crash)).then(|| crash.to_explained_fact(is_quarantined, now));
+        // The likeliest causes are named.
+        let weight = |s: &Arc<str>| {
+            (
+                self.is_quarantined(s),
+                self.last_proof(s).is_none(),
+                self.suspected_moments(s),
+            )
+        };
+        explained.flatten().unwrap_or_else(|| crash.to_fact(weight, now))
+    }
+
     /// Returns this instance's own proofs of `suspects`.
     fn proof_facts(&self, suspects: &[Arc<str>], now: time::Time) -> Vec<crash_facts::ProofFact> {
         let proofs = suspects.iter().filter_map(|segment| {
@@ -377,6 +402,87 @@
         proofs.collect()
     }
 
+    /// Returns this instance's own proofs of the suspects of crowded crashes: those since the newest crash, which clear their segments,
+    /// and former ones.
+    fn proved_sets(&self, now: time::Time) -> Vec<crash_facts::ProvedSet> {
+        let crowded = self.crashes.iter().filter(|c| c.is_crowded());
+        let mut named: Vec<&Arc<str>> = crowded.flat_map(|c| &c.suspects).collect();
+        named.sort_unstable();
+        named.dedup();
+        let newest = self.crashes.iter().map(|c| c.at).max().unwrap_or_default();
+        let (mut fresh, mut former, mut unproved) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut fresh_at, mut former_at) = (now, now);
+        for suspect in named {
+            let digest = folded_set::digest(suspect);
+            match self.own_proofs.last(suspect) {
+                Some(at) if at > newest => {
+                    fresh.push(digest);
+                    fresh_at = fresh_at.min(at);
+                }
+                Some(at) => {
+                    former.push(digest);
+                    former_at = former_at.min(at);
+                }
+                None => unproved.push(digest),
+            }
+        }
+        let not_fresh = [former.as_slice(), &unproved].concat();
+        let groups = [(fresh, fresh_at, not_fresh), (former, former_at, unproved)];
+        let mut parts = Vec::new();
+        for (proved, at, others) in &groups {
+            parts.extend(proved.chunks(folded_set::MAX_SUSPECTS).map(|part| (part, *at, others)));
+        }
+        // Those that don't fit take turns.
+        let first = self.rounds % parts.len().max(1);
+        parts.rotate_left(first);
+        let mut bytes = 0;
+        let sets = parts.into_iter().filter_map(|(proved, at, others)| {
+            let segments = folded_set::FoldedSet::without(proved, others)?;
+            bytes += segments.encoded_len();
+            (bytes <= MAX_PROVED_BYTES).then(|| crash_facts::ProvedSet {
+                segments,
+                age_ms: now.since(at).as_millis() as u64,
+            })
+        });
+        sets.collect()
+    }
+
+    /// Keeps folded proofs of another instance that were seen at the time `at`. Returns whether they change what is held against named
+    /// suspects.
+    fn add_proved_set(&mut self, set: &folded_set::FoldedSet, at: time::Time) -> bool {
+        match self.told_sets.iter_mut().find(|(known, _)| known == set) {
+            Some((_, known_at)) if *known_at >= at => return false,
+            Some((_, known_at)) => *known_at = at,
+            None => {
+                if self.told_sets.len() >= MAX_PROVED_SETS {
+                    self.told_sets.remove(0);
+                }
+                self.told_sets.push((set.clone(), at));
+            }
+        }
+        let named = self.crashes.iter().flat_map(|c| &c.suspects);
+        // One that alone explains crashes here may be found in the set by mistake.
+        let is_proved = |s: &&Arc<str>| {
+            set.may_contain(folded_set::digest(s))
+                && self.last_proof(s).is_none_or(|p| p < at)
+                && !self.is_quarantined_alone(s)
+        };
+        let mut proved: Vec<Arc<str>> = named.filter(is_proved).cloned().collect();
+        proved.sort_unstable();
+        proved.dedup();
+        let has_changed = proved.iter().any(|s| self.is_held_against(s));
+        self.told_proofs.record(proved.iter().map(AsRef::as_ref), at);
+        has_changed
+    }
+
+    /// Takes the proofs of `suspects` out of folded ones.
+    fn unfold_proofs(&mut self, suspects: &[(Arc<str>, owner::Owner)]) {
+        for (set, at) in &self.told_sets {
+            let proved = suspects.iter().filter(|(s, _)| set.may_contain(folded_set::digest(s)));
+            self.told_proofs.record(proved.map(|(s, _)| s.as_ref()), *at);
+        }
+    }
+
     /// Returns how many reports of this instance itself were news to it.
     pub fn own_reports(&self) -> u64 {
         self.own_reports
@@ -389,8 +495,9 @@
             let age = Duration::from_millis(age_ms) + elapsed;
             (age < MEMORY).then(|| time::Time::from_micros(now.as_micros() - age.as_micros() as u64))
         };
-        let sender_lacks = self.crashes.iter().any(|c| !c.is_covered_by(facts, now, elapsed))
-            || facts.verdict_count < self.verdicts.all().len();
+        let is_quarantined = |s: &Arc<str>| self.is_quarantined(s);
+        let is_covered = |c: &crash::Crash| c.is_covered_by(facts, is_quarantined, now, elapsed);
+        let sender_lacks = !self.crashes.iter().all(is_covered) || facts.verdict_count < self.verdicts.all().len();
         let (mut learned, mut refutes) = (false, false);
         for crash in &facts.crashes {
             if let Some(at) = time_of(crash.age_ms) {
@@ -399,9 +506,13 @@
                     .iter()
                     .copied()
                     .chain(std::iter::repeat(owner::Owner::default()));
-                learned |= self.add_crash(&crash.endpoint, crash.suspects.iter().zip(owners), at, now);
+                let suspects = crash.suspects.iter().cloned().zip(owners).collect();
+                learned |= self.add_crash(&crash.endpoint, suspects, &crash.folded, at, now);
             }
         }
+        if learned {
+            self.unfold_all(&self.named_suspects(), now);
+        }
         for verdict in &facts.verdicts {
             match time_of(verdict.age_ms) {
                 Some(decided_at) if self.is_refuted(&verdict.suspect, decided_at) => refutes = true,
@@ -409,13 +520,22 @@
                 None => {}
             }
         }
+        let mut has_changed = learned || !facts.verdicts.is_empty();
         for proof in &facts.proofs {
             let is_held_against = is_suspected(&self.crashes, &proof.segment) || self.verdicts.contains(&proof.segment);
             if let Some(at) = time_of(proof.age_ms).filter(|_| is_held_against) {
-                self.told_proofs.record(&proof.segment, at);
+                has_changed |= self.is_held_against(&proof.segment);
+                self.told_proofs.record([proof.segment.as_ref()], at);
             }
         }
-        self.judge(now);
+        for set in &facts.proved {
+            if let Some(at) = time_of(set.age_ms) {
+                has_changed |= self.add_proved_set(&set.segments, at);
+            }
+        }
+        if has_changed {
+            self.judge(now);
+        }
         merged::Merged {
             learned,
             sender_lacks: sender_lacks || refutes,
@@ -440,7 +560,7 @@
             suspect: Arc::clone(&verdict.suspect),
             crashes: verdict.crashes,
             moments: 0,
-            partners: Vec::new(),
+            partners: Arc::default(),
             terms: None,
             owner: verdict.owner,
             endpoints: verdict.endpoints.iter().take(MAX_ENDPOINTS).cloned().collect(),
@@ -451,61 +571,171 @@
     }
 
     /// Adds a crash, or the suspects of a known one. Returns whether anything was added.
-    fn add_crash<'a, I>(&mut self, endpoint: &Arc<str>, suspects: I, at: time::Time, now: time::Time) -> bool
-    where
-        I: IntoIterator<Item = (&'a Arc<str>, owner::Owner)>,
-    {
-        let known = self.crashes.iter().position(|c| c.is_same(endpoint, at));
-        let mut is_news = known.is_none();
-        let index = known.unwrap_or_else(|| {
-            self.make_room(now);
-            self.crashes.push(crash::Crash {
-                endpoint: Arc::clone(endpoint),
-                at,
-                suspects: Vec::new(),
-                owners: Vec::new(),
-            });
-            self.crashes.len() - 1
-        });
-        let (own_proofs, told_proofs) = (&self.own_proofs, &self.told_proofs);
-        let is_proved = |s: &Arc<str>| own_proofs.last(s).max(told_proofs.last(s)).is_some();
-        let crash = &mut self.crashes[index];
-        crash.at = crash.at.min(at);
-        for (segment, owner) in suspects {
-            if crash.has_suspect(segment) {
-                continue;
+    fn add_crash(
+        &mut self,
+        endpoint: &Arc<str>,
+        suspects: Vec<(Arc<str>, owner::Owner)>,
+        folded: &[folded_set::FoldedSet],
+        at: time::Time,
+        now: time::Time,
+    ) -> bool {
+        let is_same = |c: &crash::Crash| c.is_same(endpoint, at);
+        let mut is_news = !self.crashes.iter().any(is_same);
+        if is_news {
+            if self.crashes.len() >= MAX_CRASHES {
+                self.drop_crash(now, |_| true);
             }
-            // One that no answer has proved sound is the more likely cause.
-            let is_full = crash.suspects.len() >= MAX_SUSPECTS;
-            if is_full && (is_proved(segment) || !crash.remove_suspect(is_proved)) {
-                self.left_out += 1;
-                continue;
+            self.crashes.push(crash::Crash::new(endpoint, at));
+        }
+        let Some(known) = self.crashes.iter().find(|c| is_same(c)) else {
+            return false;
+        };
+        let mut added = suspects;
+        added.retain(|(suspect, _)| !known.has_suspect(suspect));
+        added.sort_by(|a, b| a.0.cmp(&b.0));
+        added.dedup_by(|a, b| a.0 == b.0);
+        self.make_room(&mut added, now, is_same);
+        is_news |= !added.is_empty();
+        let mut left_out = 0;
+        if let Some(crash) = self.crashes.iter_mut().find(|c| is_same(c)) {
+            crash.at = crash.at.min(at);
+            for set in folded {
+                let is_added = crash.add_folded(set);
+                is_news |= is_added == Some(true);
+                left_out += u64::from(is_added.is_none());
+            }
+            if !added.is_empty() {
+                crash.add_suspects(added);
             }
-            crash.add_suspect(segment, owner);
-            is_news = true;
         }
+        self.left_out += left_out;
         is_news
     }
 
-    /// Drops a crash if there is no room for another: preferably one that supports a quarantine, which is kept without it,
-    /// then one of the organisations that have most, then the oldest.
-    fn make_room(&mut self, now: time::Time) {
-        if self.crashes.len() < MAX_CRASHES {
-            return;
+    /// Makes room for suspects of the crash for which `is_kept` returns `true`, by dropping others. If that isn't enough, those that an
+    /// answer has proved sound go first, since they are less likely to be the cause.
+    fn make_room<F>(&mut self, added: &mut Vec<(Arc<str>, owner::Owner)>, now: time::Time, is_kept: F)
+    where
+        F: Fn(&crash::Crash) -> bool,
+    {
+        while self.suspect_count() + added.len() > MAX_SUSPECTS && self.drop_crash(now, |c| !is_kept(c)) {}
+        let room = MAX_SUSPECTS.saturating_sub(self.suspect_count());
+        if added.len() > room {
+            self.left_out += (added.len() - room) as u64;
+            added.sort_by_cached_key(|(s, _)| self.last_proof(s).is_some());
+            added.truncate(room);
+            added.sort_by(|a, b| a.0.cmp(&b.0));
         }
-        let count_of = |owner: &owner::Owner| self.crashes.iter().filter(|c| c.owners.contains(owner)).count();
-        let least_common = |c: &crash::Crash| c.owners.iter().map(count_of).min();
-        let victim = (0..self.crashes.len()).max_by_key(|&i| {
+    }
+
+    fn suspect_count(&self) -> usize {
+        self.crashes.iter().map(|c| c.suspects.len()).sum()
+    }
+
+    /// Drops one of the crashes for which `may_go` returns `true`: preferably one that supports a quarantine, which is kept without
+    /// it, then one of the organisations that have most, then the oldest. Returns whether there is one.
+    fn drop_crash<F>(&mut self, now: time::Time, may_go: F) -> bool
+    where
+        F: Fn(&crash::Crash) -> bool,
+    {
+        let owners: Vec<Vec<owner::Owner>> = self.crashes.iter().map(crash::Crash::distinct_owners).collect();
+        let count_of = |owner: &owner::Owner| owners.iter().filter(|o| o.binary_search(owner).is_ok()).count();
+        let least_common = |i: usize| owners[i].iter().map(count_of).min();
+        let candidates = (0..self.crashes.len()).filter(|&i| may_go(&self.crashes[i]));
+        let victim = candidates.max_by_key(|&i| {
             let crash = &self.crashes[i];
-            (self.is_explained(crash), least_common(crash), Reverse(crash.at))
+            (self.is_explained(crash), least_common(i), Reverse(crash.at))
         });
-        let Some(index) = victim else { return };
+        let Some(index) = victim else { return false };
         let crash = self.crashes.swap_remove(index);
         let explaining = |q: &&quarantine::Quarantine| crash.has_suspect(&q.suspect);
         let quarantines: Vec<_> = self.quarantined.iter().filter(explaining).cloned().collect();
         for quarantine in quarantines {
             self.verdicts.insert(quarantine, MEMORY, now);
         }
+        true
+    }
+
+    /// Returns whether one of `segments` may be among the suspects that others have told in folded form.
+    pub(super) fn may_unfold(&self, segments: &[Arc<str>]) -> bool {
+        let unfolds = |c: &crash::Crash| segments.iter().any(|s| self.unfolds(s, c));
+        self.crashes.iter().any(unfolds)
+    }
+
+    /// Takes those of `segments`, which a request of `owner` has, out of folded sets, and judges again.
+    pub(super) fn unfold(&mut self, segments: &[Arc<str>], owner: owner::Owner, now: time::Time) {
+        let suspects: Vec<_> = segments.iter().map(|s| (Arc::clone(s), owner)).collect();
+        let now = shifted(now);
+        self.unfold_all(&suspects, now);
+        self.judge(now);
+    }
+
+    /// Names those of `suspects` for the crashes whose folded sets may contain them.
+    fn unfold_all(&mut self, suspects: &[(Arc<str>, owner::Owner)], now: time::Time) {
+        let unfolds = |c: &&crash::Crash| suspects.iter().any(|(s, _)| self.unfolds(s, c));
+        let crashes = self.crashes.iter().filter(unfolds);
+        let crashes: Vec<_> = crashes.map(|c| (Arc::clone(&c.endpoint), c.at)).collect();
+        for (endpoint, at) in crashes {
+            let is_same = |c: &crash::Crash| c.is_same(&endpoint, at);
+            // The crash may have made room for the suspects of another one.
+            let Some(crash) = self.crashes.iter().find(|c| is_same(c)) else {
+                continue;
+            };
+            let mut named: Vec<_> = suspects
+                .iter()
+                .filter(|(s, _)| self.unfolds(s, crash))
+                .cloned()
+                .collect();
+            named.sort_by(|a, b| a.0.cmp(&b.0));
+            named.dedup_by(|a, b| a.0 == b.0);
+            self.unfold_proofs(&named);
+            self.make_room(&mut named, now, is_same);
+            if let Some(crash) = self.crashes.iter_mut().find(|c| is_same(c)) {
+                crash.add_suspects(named);
+            }
+        }
+    }
+
+    /// Returns whether a folded set may hold `suspect` against a crash, and no answer has shown since that it is sound.
+    fn unfolds(&self, suspect: &Arc<str>, crash: &crash::Crash) -> bool {
+        crash.may_unfold(suspect) && self.is_suspect_of(suspect, crash)
+    }
+
+    /// Returns all suspects that are known by name.
+    fn named_suspects(&self) -> Vec<(Arc<str>, owner::Owner)> {
+        let of_crash = |c: &crash::Crash| {
+            c.suspects
+                .iter()
+                .cloned()
+                .zip(c.owners.iter().copied())
+                .collect::<Vec<_>>()
+        };
+        let mut named: Vec<_> = self.crashes.iter().flat_map(of_crash).collect();
+        named.sort_by(|a, b| a.0.cmp(&b.0));
+        named.dedup_by(|a, b| a.0 == b.0);
+        named
+    }
+
+    /// Returns whether a proof of `suspect` may change the verdict.
+    fn is_held_against(&self, suspect: &Arc<str>) -> bool {
+        let last_proof = self.last_proof(suspect);
+        let is_before = |c: &crash::Crash| last_proof.is_none_or(|at| at < c.at);
+        self.verdicts.contains(suspect) || self.crashes.iter().any(|c| is_before(c) && c.has_suspect(suspect))
+    }
+
+    fn is_quarantined(&self, suspect: &Arc<str>) -> bool {
+        self.quarantined.binary_search_by(|q| q.suspect.cmp(suspect)).is_ok()
+    }
+
+    fn is_quarantined_alone(&self, suspect: &Arc<str>) -> bool {
+        let at = self.quarantined.binary_search_by(|q| q.suspect.cmp(suspect));
+        at.is_ok_and(|at| self.quarantined[at].partners.is_empty())
+    }
+
+    /// Returns the number of moments at which `suspect` may have caused a crash that nothing quarantined explains.
+    fn suspected_moments(&self, suspect: &Arc<str>) -> usize {
+        let at = self.suspicions.binary_search_by(|(s, _)| s.cmp(suspect));
+        at.map_or(0, |at| self.suspicions[at].1)
     }
 
     /// Returns whether a quarantined suspect explains `crash`.
@@ -548,59 +778,53 @@
             };
             let guilty: Vec<&crash_tally::Tally> =
                 tallies.iter().filter(is_guilty).filter(|t| rank(t) == worst).collect();
-            quarantined.extend(guilty.iter().map(|t| self.convict(t, &guilty, &unexplained)));
-            unexplained.retain(|c| !guilty.iter().any(|t| c.has_suspect(&t.segment)));
+            let ties = ties::Ties::new(guilty.iter().map(|t| &t.segment), &unexplained);
+            quarantined.extend(guilty.iter().map(|t| self.convict(t, &ties, &unexplained)));
+            unexplained = ties.unexplained(&unexplained);
         }
         quarantined.sort_by(|a, b| a.suspect.cmp(&b.suspect));
         quarantined.dedup_by(|a, b| a.suspect == b.suspect);
         self.quarantined = quarantined;
     }
 
-    /// Returns the quarantine of a suspect that is among the `guilty` ones of `crashes`, which are sorted by time.
+    /// Returns the quarantine of a suspect that is among those of `ties`, which explain some of `crashes`, sorted by time.
     fn convict(
         &self,
         tally: &crash_tally::Tally,
-        guilty: &[&crash_tally::Tally],
+        ties: &ties::Ties,
         crashes: &[&crash::Crash],
     ) -> quarantine::Quarantine {
         let suspect = &tally.segment;
-        let own = crashes.iter().filter(|c| c.has_suspect(suspect));
-        let is_partner = |other: &Arc<str>| other != suspect && own.clone().any(|c| c.has_suspect(other));
-        let partners = guilty.iter().map(|t| &t.segment).filter(|s| is_partner(s));
-        let partners: Vec<Arc<str>> = partners.take(MAX_SUSPECTS).cloned().collect();
+        let tie = ties.of(suspect);
+        let own = tie.crashes(crashes);
         let last_crash_at = own.clone().map(|c| c.at).max().unwrap_or_default();
         quarantine::Quarantine {
             suspect: Arc::clone(suspect),
             crashes: tally.crashes,
             moments: tally.moments.len(),
-            terms: self.terms(tally, &partners, own.clone().copied(), last_crash_at),
-            partners,
+            terms: self.terms(tally, tie, own.clone(), last_crash_at),
+            partners: Arc::clone(&tie.partners),
             owner: own.clone().find_map(|c| c.owner_of(suspect)).unwrap_or_default(),
-            endpoints: own
-                .clone()
-                .take(MAX_ENDPOINTS)
-                .map(|c| Arc::clone(&c.endpoint))
-                .collect(),
+            endpoints: own.take(MAX_ENDPOINTS).map(|c| Arc::clone(&c.endpoint)).collect(),
             last_crash_at,
             decided_at: self.last_decisive(tally).unwrap_or_default(),
         }
     }
 
-    /// Returns which requests may test a suspect with these `partners`, that explains `crashes`.
+    /// Returns which requests may test a suspect that explains `crashes` as well as those of `tie` do.
     fn terms<'a, I>(
         &self,
         tally: &crash_tally::Tally,
-        partners: &[Arc<str>],
+        tie: &ties::Tie,
         crashes: I,
         last_crash_at: time::Time,
     ) -> Option<trials::Terms>
     where
         I: Iterator<Item = &'a crash::Crash>,
     {
-        if !partners.is_empty() {
-            let telling = crashes.filter(|c| partners.iter().any(|p| !c.has_suspect(p))).count();
-            let is_open = telling < MAX_TELLING_CRASHES && tally.moments.len() < MAX_TESTED_MOMENTS;
-            return is_open.then(|| trials::Terms::with_partners(partners.to_vec(), last_crash_at));
+        if !tie.partners.is_empty() {
+            let is_open = tie.telling_crashes < MAX_TELLING_CRASHES && tally.moments.len() < MAX_TESTED_MOMENTS;
+            return is_open.then(|| trials::Terms::with_partners(Arc::clone(&tie.partners), last_crash_at));
         }
         let min_moments = self.min_moments(&tally.segment);
         let is_open = tally.blamed_at.len() <= min_moments && tally.moments.len() <= min_moments.max(MIN_WEAK_MOMENTS);
@@ -608,8 +832,8 @@
         // The contents of requests seldom come again, so that those beside the suspect tell nothing.
         let rivals = crashes
             .flat_map(|c| &c.suspects)
-            .filter(is_rival)
-            .filter(|_| !self.counts_each_crash);
+            .filter(|_| is_open && !self.counts_each_crash)
+            .filter(is_rival);
         is_open.then(|| trials::Terms::alone(rivals.cloned().collect(), last_crash_at))
     }
 
@@ -625,7 +849,7 @@
             suspect: Arc::clone(suspect),
             crashes: 1,
             moments: 1,
-            partners: Vec::new(),
+            partners: Arc::default(),
             terms: None,
             owner: *owner,
             endpoints: vec![Arc::clone(&crash.endpoint)],
@@ -636,43 +860,9 @@
 
     /// Counts what each segment may have caused, sorted by segment. `crashes` must be sorted by time.
     fn tallies(&self, crashes: &[&crash::Crash]) -> Vec<crash_tally::Tally> {
-        let mut tallies: Vec<crash_tally::Tally> = Vec::new();
-        let mut rest = crashes;
-        while let Some(first) = rest.first() {
-            let (moment, later) = rest.split_at(rest.partition_point(|c| c.at.since(first.at) <= MOMENT));
-            rest = later;
-            for (segment, count) in self.suspects_of(moment) {
-                let at = tallies
-                    .binary_search_by(|t| t.segment.cmp(segment))
-                    .unwrap_or_else(|at| {
-                        tallies.insert(at, crash_tally::Tally::new(segment));
-                        at
-                    });
-                let tally = &mut tallies[at];
-                tally.crashes += count;
-                tally.moments.push(first.at);
-                // Most crashes of a moment have one cause, such as the loss of a failure domain.
-                if 2 * count > moment.len() {
-                    let units = if self.counts_each_crash { count } else { 1 };
-                    tally.blamed_at.extend(std::iter::repeat_n(first.at, units));
-                }
-            }
-        }
-        tallies
-    }
-
-    /// Counts how many of `crashes` each segment may have caused, sorted by segment.
-    fn suspects_of<'a>(&self, crashes: &[&'a crash::Crash]) -> Vec<(&'a Arc<str>, usize)> {
-        let mut counts: Vec<(&Arc<str>, usize)> = Vec::new();
-        for crash in crashes {
-            for segment in crash.suspects.iter().filter(|s| self.is_suspect_of(s, crash)) {
-                match counts.binary_search_by(|(s, _)| (*s).cmp(segment)) {
-                    Ok(at) => counts[at].1 += 1,
-                    Err(at) => counts.insert(at, (segment, 1)),
-                }
-            }
-        }
-        counts
+        let is_suspect = |s: &Arc<str>, c: &crash::Crash| self.is_suspect_of(s, c);
+        let units = |count| if self.counts_each_crash { count } else { 1 };
+        crash_tally::count(crashes, is_suspect, units)
     }
 
     /// Returns the last moment without which there would be too few to quarantine the segment, or `None` if there are too
--- a/crates/core/src/direct/crash_facts.rs
+++ b/crates/core/src/direct/crash_facts.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::direct::{owner, quarantine};
+use crate::direct::{folded_set, owner, quarantine};
 use crate::time;
 
 /// Upper bound of the length of a fact as JSON, without its identifiers.
@@ -26,6 +26,9 @@
     /// Suspected segments that it has itself seen proved sound. The proofs of others are not passed on, since their age
     /// would shrink with each hop.
     pub proofs: Vec<ProofFact>,
+    /// The same for suspects of crashes that have too many to name them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub proved: Vec<ProvedSet>,
     /// Quarantines whose crashes it no longer knows, or some of them.
     #[serde(default)]
     pub verdicts: Vec<VerdictFact>,
@@ -46,6 +49,10 @@
     /// The organisation whose request had each of them, in the same order. Gateways of earlier builds tell none.
     #[serde(default)]
     pub owners: Vec<owner::Owner>,
+    /// All suspects, if they are too many to name. Each gateway that saw the crash may have folded its own. Gateways of earlier
+    /// builds tell none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub folded: Vec<folded_set::FoldedSet>,
 }
 
 /// A quarantine, as told to other instances.
@@ -72,12 +79,28 @@
     pub age_ms: u64,
 }
 
+/// Proofs that many segments are sound, as told to other instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProvedSet {
+    /// The segments. No suspect that the sender knows and has not seen proved is found in it by mistake.
+    pub segments: folded_set::FoldedSet,
+    /// Age of the oldest of the proofs in milliseconds.
+    pub age_ms: u64,
+}
+
 impl CrashFact {
     /// Returns an upper bound of the length of the fact as JSON.
     pub(super) fn encoded_len(&self) -> usize {
         let suspects = self.suspects.iter().map(|s| identifier_len(s));
         let owners = self.owners.len() * OWNER_BYTES;
-        FACT_BYTES + identifier_len(&self.endpoint) + suspects.sum::<usize>() + owners
+        let folded = self.folded.iter().map(folded_set::FoldedSet::encoded_len);
+        FACT_BYTES + identifier_len(&self.endpoint) + suspects.sum::<usize>() + owners + folded.sum::<usize>()
+    }
+
+    /// Returns whether `suspect` is among those that the fact names or may be among those that it folds.
+    pub(super) fn covers(&self, suspect: &Arc<str>) -> bool {
+        let digest = folded_set::digest(suspect);
+        self.suspects.contains(suspect) || self.folded.iter().any(|set| set.may_contain(digest))
     }
 }
 
--- a/crates/core/src/direct/crash_record.rs
+++ b/crates/core/src/direct/crash_record.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::{crash_evidence, crash_facts, merged, owner, quarantine, trials};
+use crate::direct::{crash_evidence, crash_facts, merged, owner, quarantine, segment_list, trials};
 use crate::time;
 
 /// What a crash is blamed on.
@@ -63,6 +63,16 @@
 }
 
 impl OwnedSuspects {
+    /// Creates the suspects of a request of `owner` with these segments, in the form in which they are judged.
+    pub fn new(segments: &segment_list::SegmentList, content: &Arc<str>, owner: owner::Owner) -> Self {
+        let segments = segments.iter().map(Arc::from).collect();
+        Self {
+            segments: crash_evidence::bounded_segments(segments),
+            content: Arc::clone(content),
+            owner,
+        }
+    }
+
     /// Returns the suspects.
     pub fn as_ref(&self) -> Suspects<'_> {
         Suspects {
@@ -154,6 +164,10 @@
 
     /// Decides whether a request with `suspects` is sent, and whether that is a trial.
     pub fn admit(&mut self, suspects: &Suspects<'_>, instances: &trials::Instances<'_>, now: time::Time) -> Admission {
+        let (segments, owner) = (suspects.segments, suspects.owner);
+        if self.segments.may_unfold(segments) {
+            self.change(Suspect::Segment, now, |evidence| evidence.unfold(segments, owner, now));
+        }
         let Some((suspect, quarantine)) = self.quarantined(suspects) else {
             return Admission::Admitted;
         };
@@ -186,11 +200,23 @@
     fn trial_terms(&self, suspects: &Suspects<'_>) -> Vec<(Arc<str>, trials::Terms)> {
         let terms_of = |suspect| {
             let identifiers = suspects.identifiers(suspect);
+            let mut sorted = identifiers.to_vec();
+            sorted.sort_unstable();
+            let mut allowed: Option<trials::Terms> = None;
             let quarantines = self.evidence(suspect).quarantined_among(identifiers);
-            let allowed = |q: &quarantine::Quarantine| q.terms.clone().filter(|t| t.allow(identifiers));
-            quarantines.map(move |q| Some((Arc::clone(&q.suspect), allowed(q)?)))
+            let terms = quarantines.map(|q| {
+                let terms = q.terms.clone()?;
+                // Partners are as many as the segments of a prompt, and share their terms.
+                let is_known = allowed.as_ref().is_some_and(|known| terms.are_shared_with(known));
+                if !is_known && !terms.allow(&sorted) {
+                    return None;
+                }
+                allowed = Some(terms.clone());
+                Some((Arc::clone(&q.suspect), terms))
+            });
+            terms.collect::<Option<Vec<_>>>()
         };
-        let by_suspect = Suspect::ALL.map(|suspect| terms_of(suspect).collect::<Option<Vec<_>>>());
+        let by_suspect = Suspect::ALL.map(terms_of);
         let [Some(segments), Some(requests)] = by_suspect else {
             return Vec::new();
         };
--- a/crates/core/src/direct/quarantine.rs
+++ b/crates/core/src/direct/quarantine.rs
@@ -14,9 +14,9 @@
     pub crashes: usize,
     /// Number of moments with such crashes.
     pub moments: usize,
-    /// Other suspects that explain the same crashes as well and are quarantined with it, sorted. One of them may be the only
-    /// one to blame.
-    pub partners: Vec<Arc<str>>,
+    /// The suspects that explain the same crashes equally well and are quarantined with it, and itself, sorted; empty if there are
+    /// no others. One of them may be the only one to blame. Quarantines share the list, which is as long as a prompt.
+    pub partners: Arc<[Arc<str>]>,
     /// Which requests may test the suspect, unless enough have.
     pub(super) terms: Option<trials::Terms>,
     /// The organisation whose request was seen first.
--- a/crates/core/src/direct/trials.rs
+++ b/crates/core/src/direct/trials.rs
@@ -33,8 +33,8 @@
 pub struct Terms {
     /// On the clock of the evidence.
     last_crash_at: time::Time,
-    /// A request must lack one of these, if there are any.
-    partners: Vec<Arc<str>>,
+    /// A request must lack one of these, if there are any. Suspects share the list.
+    partners: Arc<[Arc<str>]>,
     /// A request must lack all of these.
     rivals: Vec<Arc<str>>,
 }
@@ -42,7 +42,7 @@
 impl Terms {
     /// Returns the terms for a suspect that explains crashes, the last of them at `last_crash_at`, as well as its `partners`
     /// do.
-    pub(super) fn with_partners(partners: Vec<Arc<str>>, last_crash_at: time::Time) -> Self {
+    pub(super) fn with_partners(partners: Arc<[Arc<str>]>, last_crash_at: time::Time) -> Self {
         Self {
             last_crash_at,
             partners,
@@ -54,18 +54,23 @@
     pub(super) fn alone(rivals: Vec<Arc<str>>, last_crash_at: time::Time) -> Self {
         Self {
             last_crash_at,
-            partners: Vec::new(),
+            partners: Arc::default(),
             rivals,
         }
     }
 
-    /// Returns whether a request with the suspects `identifiers` tells the suspect apart from the others.
+    /// Returns whether a request with the suspects `identifiers`, which are sorted, tells the suspect apart from the others.
     pub(super) fn allow(&self, identifiers: &[Arc<str>]) -> bool {
-        let has = |s: &Arc<str>| identifiers.contains(s);
+        let has = |s: &Arc<str>| identifiers.binary_search(s).is_ok();
         let lacks_partner = self.partners.is_empty() || !self.partners.iter().all(has);
         lacks_partner && !self.rivals.iter().any(has)
     }
 
+    /// Returns whether these are the terms of a partner of `other`, which allow the same requests.
+    pub(super) fn are_shared_with(&self, other: &Self) -> bool {
+        self.has_partners() && Arc::ptr_eq(&self.partners, &other.partners)
+    }
+
     /// Returns whether the suspect can be tested together with others.
     pub(super) fn has_partners(&self) -> bool {
         !self.partners.is_empty()
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -14,11 +14,12 @@
 use crate::monitoring;
 use crate::reservation;
 
+/// Number of segments of a prompt that a line of the log names.
+const MAX_LOGGED_SEGMENTS: usize = 64;
+
 /// A caller's request that was read completely and authorized.
 pub(crate) struct Call {
     pub(crate) head: header_adapter::CallHead,
-    /// Number of shared segments that the head names and that are not judged.
-    pub(crate) unjudged_segments: usize,
     pub(crate) grant: access::Grant,
     pub(crate) method: Method,
     /// The path and query, unchanged.
@@ -61,13 +62,22 @@
         }
     }
 
-    /// Returns what of this request may be to blame if its endpoint crashes.
-    pub(crate) fn suspects(&self) -> crash_record::Suspects<'_> {
-        crash_record::Suspects {
-            segments: &self.head.shared_segments,
-            content: &self.content,
-            owner: owner::Owner::new(self.organisation().map(AsRef::as_ref)),
+    /// Returns what of this request may be to blame if its endpoint crashes. They are made anew each time, since those of a large
+    /// head take several times its space.
+    pub(crate) fn suspects(&self) -> crash_record::OwnedSuspects {
+        let owner = owner::Owner::new(self.organisation().map(AsRef::as_ref));
+        crash_record::OwnedSuspects::new(&self.head.shared_segments, &self.content, owner)
+    }
+
+    /// Returns the shared segments of the prompt for logs, which tell only the number of those beyond [`MAX_LOGGED_SEGMENTS`].
+    pub(crate) fn segments_for_log(&self) -> String {
+        let mut segments = self.head.shared_segments.iter();
+        let mut text: Vec<String> = segments.by_ref().take(MAX_LOGGED_SEGMENTS).map(str::to_owned).collect();
+        let further = segments.count();
+        if further > 0 {
+            text.push(format!("and {further} more"));
         }
+        text.join(",")
     }
 
     /// Returns the name of the organisation that owns the caller's key.
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -14,6 +14,10 @@
 use crate::pool;
 use crate::refuse;
 
+/// Number of suspects that are logged one by one when a verdict changes, and number of partners in each line. All segments of a
+/// prompt may be quarantined at once.
+const MAX_LOGGED_CHANGES: usize = 16;
+
 /// How much of a response had arrived when it broke off.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Progress {
@@ -40,7 +44,7 @@
     match pool::Pool::probe(endpoint).await {
         pool::Reachability::Refuses => {}
         pool::Reachability::Accepts if crash_evidence::has_survived(progress.events, progress.held_for) => {
-            record_survival(cx, &call.suspects(), endpoint, progress);
+            record_survival(cx, call, endpoint, progress);
             return false;
         }
         pool::Reachability::Accepts => {
@@ -48,17 +52,17 @@
                 .borrow_mut()
                 .record(broken_responses::BrokenResponse {
                     endpoint: Arc::clone(endpoint),
-                    suspects: call.suspects().to_owned(),
+                    suspects: call.suspects(),
                     at: boot_clock::now(),
                 });
             return false;
         }
         pool::Reachability::Unreachable => return false,
     }
-    let is_news = record_crash(cx, &endpoint.id, &call.suspects(), boot_clock::now());
+    let is_news = record_crash(cx, &endpoint.id, &call.suspects().as_ref(), boot_clock::now());
     info!(cx.log, "endpoint crashed at the beginning of a response";
-        "request" => call.id(), "endpoint" => endpoint.id.as_ref(), "segments" => call.head.shared_segments.join(","),
-        "unjudged_segments" => call.unjudged_segments, "content" => call.content.as_ref(),
+        "request" => call.id(), "endpoint" => endpoint.id.as_ref(), "segments" => call.segments_for_log(),
+        "content" => call.content.as_ref(),
         "written_ms" => progress.written_for.as_millis() as u64, "news" => is_news);
     true
 }
@@ -67,42 +71,37 @@
 /// Nothing is asked of an endpoint that can prove nothing new, and the request doesn't wait for the answer.
 pub(crate) fn examine_silent_response(
     cx: &Rc<context::GatewayContext>,
-    call: &call::Call,
+    call: &Rc<call::Call>,
     endpoint: &Arc<endpoint::Endpoint>,
     progress: Progress,
 ) {
     let has_unproved = |crashes: &crash_record::CrashRecord| {
         let evidence = crashes.evidence(crash_record::Suspect::Segment);
-        evidence.has_unproved(&call.head.shared_segments)
+        evidence.has_unproved(call.suspects().as_ref().segments)
     };
     if !crash_evidence::has_survived(progress.events, progress.held_for) || !has_unproved(&cx.crashes.borrow()) {
         return;
     }
-    let (cx, suspects, endpoint) = (Rc::clone(cx), call.suspects().to_owned(), Arc::clone(endpoint));
+    let (cx, call, endpoint) = (Rc::clone(cx), Rc::clone(call), Arc::clone(endpoint));
     tokio::task::spawn_local(async move {
         if pool::Pool::probe(&endpoint).await == pool::Reachability::Accepts {
-            record_survival(&cx, &suspects.as_ref(), &endpoint, progress);
+            record_survival(&cx, &call, &endpoint, progress);
         }
     });
 }
 
-/// Records that `endpoint` lives after it had begun to answer a request with `suspects`.
-fn record_survival(
-    cx: &context::GatewayContext,
-    suspects: &crash_record::Suspects<'_>,
-    endpoint: &endpoint::Endpoint,
-    progress: Progress,
-) {
+/// Records that `endpoint` lives after it had begun to answer `call`.
+fn record_survival(cx: &context::GatewayContext, call: &call::Call, endpoint: &endpoint::Endpoint, progress: Progress) {
     info!(cx.log, "endpoint lives after a response that was not completed"; "endpoint" => endpoint.id.as_ref(),
-        "segments" => suspects.segments.join(","), "events" => progress.events,
+        "segments" => call.segments_for_log(), "events" => progress.events,
         "held_ms" => progress.held_for.as_millis() as u64);
-    update(cx, |crashes| crashes.record_proof(suspects, boot_clock::now()));
+    record_proof(cx, call);
 }
 
 /// Records that a test of a quarantined suspect showed no result, since the response of `endpoint` to `call` was lost. That
 /// counts as a crash, so that tests come to an end.
 pub(crate) fn record_lost_test(cx: &context::GatewayContext, call: &call::Call, endpoint: &Arc<str>) {
-    let is_news = record_crash(cx, endpoint, &call.suspects(), boot_clock::now());
+    let is_news = record_crash(cx, endpoint, &call.suspects().as_ref(), boot_clock::now());
     info!(cx.log, "test of a quarantine showed no result"; "request" => call.id(),
         "endpoint" => endpoint.as_ref(), "news" => is_news);
 }
@@ -139,7 +138,20 @@
 
 /// Records that a response, or the part of it that was written so far, proves `call` and its segments sound.
 pub(crate) fn record_proof(cx: &context::GatewayContext, call: &call::Call) {
-    update(cx, |crashes| crashes.record_proof(&call.suspects(), boot_clock::now()));
+    let suspects = call.suspects();
+    let quarantine_count = || {
+        let crashes = cx.crashes.borrow();
+        let counts = crash_record::Suspect::ALL.map(|suspect| crashes.evidence(suspect).quarantines().len());
+        counts.iter().sum::<usize>()
+    };
+    let before = quarantine_count();
+    update(cx, |crashes| {
+        crashes.record_proof(&suspects.as_ref(), boot_clock::now());
+    });
+    // Other gateways refuse what is released here until they learn of the proof.
+    if quarantine_count() < before {
+        cx.fact_news.notify_one();
+    }
 }
 
 /// Decides whether `call` is sent, and whether that is a test of a quarantine.
@@ -155,7 +167,8 @@
         peers: &peers,
         started: cx.started,
     };
-    let admission = cx.crashes.borrow_mut().admit(&call.suspects(), &instances, now);
+    let suspects = call.suspects();
+    let admission = cx.crashes.borrow_mut().admit(&suspects.as_ref(), &instances, now);
     match admission {
         crash_record::Admission::Admitted => Ok(None),
         crash_record::Admission::Trial(tested) => {
@@ -200,7 +213,8 @@
     call: &call::Call,
 ) -> Option<(crash_record::Suspect, quarantine::Quarantine)> {
     let crashes = cx.crashes.borrow();
-    let (suspect, quarantine) = crashes.quarantined(&call.suspects())?;
+    let suspects = call.suspects();
+    let (suspect, quarantine) = crashes.quarantined(&suspects.as_ref())?;
     Some((suspect, quarantine.clone()))
 }
 
@@ -259,6 +273,16 @@
     result
 }
 
+/// Returns the suspects that explain the same crashes as well as the one of `quarantine` does.
+fn partners_for_log(quarantine: &quarantine::Quarantine) -> String {
+    let mut others = quarantine.partners.iter().filter(|p| **p != quarantine.suspect);
+    let mut text: Vec<&str> = others.by_ref().take(MAX_LOGGED_CHANGES).map(AsRef::as_ref).collect();
+    if others.next().is_some() {
+        text.push("and others");
+    }
+    text.join(",")
+}
+
 /// Logs and counts what was quarantined or released between two verdicts.
 fn report_changes(
     cx: &context::GatewayContext,
@@ -275,16 +299,28 @@
         crash_record::Suspect::Segment => "segment",
         crash_record::Suspect::Request => "content",
     };
-    for quarantine in after.iter().filter(|q| !is_in(before, q)) {
+    let (added, removed) = (
+        after.iter().filter(|q| !is_in(before, q)),
+        before.iter().filter(|q| !is_in(after, q)),
+    );
+    for quarantine in added.clone().take(MAX_LOGGED_CHANGES) {
         warn!(cx.log, "{} quarantined", name(suspect);
             log_key => quarantine.suspect.as_ref(), "crashes" => quarantine.crashes,
-            "moments" => quarantine.moments, "partners" => quarantine.partners.join(","),
+            "moments" => quarantine.moments, "partners" => partners_for_log(quarantine),
             "proved_ms_ago" => proof_age(quarantine));
     }
-    for quarantine in before.iter().filter(|q| !is_in(after, q)) {
+    for quarantine in removed.clone().take(MAX_LOGGED_CHANGES) {
         info!(cx.log, "{} released", name(suspect);
             log_key => quarantine.suspect.as_ref(), "proved_ms_ago" => proof_age(quarantine));
     }
+    let (added, removed) = (
+        added.skip(MAX_LOGGED_CHANGES).count(),
+        removed.skip(MAX_LOGGED_CHANGES).count(),
+    );
+    if added + removed > 0 {
+        warn!(cx.log, "further {}s were quarantined or released", name(suspect);
+            "quarantined" => added, "released" => removed);
+    }
     match suspect {
         crash_record::Suspect::Request => cx.metrics.crashes.set_quarantined_requests(after.len()),
         crash_record::Suspect::Segment => cx.metrics.crashes.set_quarantined_segments(after.len()),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use slog::info;
 use sycamorestile_connection::watch;
-use sycamorestile_core::direct::{crash_evidence, request_content};
+use sycamorestile_core::direct::request_content;
 use sycamorestile_core::problem;
 use sycamorestile_core::time::Time;
 use sycamorestile_table::boot_clock;
@@ -18,7 +18,6 @@
 
 use crate::call;
 use crate::context;
-use crate::header_adapter;
 use crate::monitoring;
 use crate::proxy;
 use crate::refuse;
@@ -106,19 +105,8 @@
     let path = parts.uri.path().to_owned();
     let host_header = parts.headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let host = host_header.or(parts.uri.host()).unwrap_or_default().to_owned();
-    let (head, unjudged_segments) = match (cx.header_adapter.read_call)(&parts.headers) {
-        Ok(head) => {
-            let named = head.shared_segments.len();
-            let shared_segments = crash_evidence::bounded_segments(head.shared_segments);
-            let unjudged = named - shared_segments.len();
-            (
-                header_adapter::CallHead {
-                    shared_segments,
-                    ..head
-                },
-                unjudged,
-            )
-        }
+    let head = match (cx.header_adapter.read_call)(&parts.headers) {
+        Ok(head) => head,
         Err(error) => {
             discard_body(body);
             return Err(Refusal {
@@ -179,7 +167,6 @@
     Ok(call::Call {
         content: content.identifier(),
         head,
-        unjudged_segments,
         grant,
         method: parts.method,
         target,
--- a/crates/gateway/src/header_adapter.rs
+++ b/crates/gateway/src/header_adapter.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, StatusCode};
-use sycamorestile_core::direct::{placement, withdrawals};
+use sycamorestile_core::direct::{placement, segment_list, withdrawals};
 use thiserror::Error;
 
 /// The fields of a caller's request head that the gateway uses.
@@ -23,7 +23,7 @@
     pub last_event_id: Option<String>,
     /// The identifiers of the segments that the prompt shares with other requests. The segment that belongs to this
     /// request alone is left out.
-    pub shared_segments: Vec<Arc<str>>,
+    pub shared_segments: segment_list::SegmentList,
     /// The description of the whole prompt, as the caller sent it.
     pub prompt: Option<Arc<str>>,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -31,7 +31,7 @@
 /// The number of rounds in which a read of the table is sent, since datagrams can get lost.
 const READ_ROUNDS: u32 = 3;
 /// The largest datagram that is received, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 32 << 10;
+const MAX_DATAGRAM_BYTES: usize = 48 << 10;
 
 /// Sends and receives datagrams until the process exits, and removes the state of endpoints that no longer exist.
 pub(crate) async fn run(
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -82,7 +82,7 @@
         let now = boot_clock::now();
         info!(cx.log, "attempt failed";
             "request" => self.call.id(), "endpoint" => endpoint, "why" => why, "next" => format!("{next:?}"),
-            "sent" => self.attempts.sent_count(), "segments" => self.call.head.shared_segments.join(","),
+            "sent" => self.attempts.sent_count(), "segments" => self.call.segments_for_log(),
             "content" => self.call.content.as_ref(),
             "under_way" => endpoint.map(|id| cx.placement.borrow().in_flight(id, now)),
             "ms" => now.since(self.call.started).as_millis() as u64);
@@ -159,7 +159,7 @@
         }
         // The request itself may have crashed the endpoint, and would crash the next one too.
         attempts::NextAttempt::Send { .. }
-            if req_cx.endpoint_crashed && !cx.crashes.borrow().allows_repeat(&req_cx.call.suspects()) =>
+            if req_cx.endpoint_crashed && !cx.crashes.borrow().allows_repeat(&req_cx.call.suspects().as_ref()) =>
         {
             Some(problem_kind(req_cx.attempts.failure_outcome()))
         }
