Folded suspects have more bits; proofs of an instance and of others stand in a type of their own

Cause: with twelve bits, a folded set holds three in a thousand other suspects by mistake. Two unrelated crashes under prompts of a thousand unproved segments would then convict some sound ones, three of a thousand, and a request that has all of them can't test them.

Ruled out: leaving such sets out of the count of moments, since a gateway that saw no crash would then never judge.

Change: 32 bits for each suspect, 20 in the largest sets of 2,048. The proofs of crash_evidence.rs, which had grown by them, move to proof_record.rs, unchanged otherwise.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use crate::direct::{
-    crash, crash_facts, crash_tally, folded_set, merged, owner, proofs, quarantine, ties, trials, verdicts,
+    crash, crash_facts, crash_tally, folded_set, merged, owner, proof_record, quarantine, ties, trials, verdicts,
 };
 use crate::time;
 
@@ -56,10 +56,6 @@
 const MAX_FACTS_BYTES: usize = 12 << 10;
 /// The part of it for quarantines without crashes.
 const MAX_VERDICT_BYTES: usize = 3 << 10;
-/// Upper bound of the encoded length of folded proofs, which a datagram has besides.
-const MAX_PROVED_BYTES: usize = 9 << 9;
-/// Upper bound of the number of folded proofs of others that are kept.
-const MAX_PROVED_SETS: usize = 16;
 /// Upper bound of the encoded length of quarantines without crashes in a row of the table.
 const MAX_ROW_VERDICT_BYTES: usize = 19 << 10;
 /// Upper bound of the number of quarantines of others for which a refutation is told.
@@ -85,12 +81,8 @@
     rounds: usize,
     /// Number of times at which the verdict was determined.
     verdict_count: u64,
-    /// Proofs that this instance has seen.
-    own_proofs: proofs::Proofs,
-    /// Proofs that others have seen; only of suspected segments.
-    told_proofs: proofs::Proofs,
-    /// Folded proofs that others have told and when they were seen; at most [`MAX_PROVED_SETS`], the newest last.
-    told_sets: Vec<(folded_set::FoldedSet, time::Time)>,
+    /// Answers that proved suspects sound.
+    proofs: proof_record::ProofRecord,
     /// Endpoints whose crashes something else explains, sorted.
     explained: Vec<Arc<str>>,
     /// Quarantines whose crashes are gone, or some of them.
@@ -157,9 +149,7 @@
             left_out: 0,
             rounds: 0,
             verdict_count: 0,
-            own_proofs: proofs::Proofs::default(),
-            told_proofs: proofs::Proofs::default(),
-            told_sets: Vec::new(),
+            proofs: proof_record::ProofRecord::default(),
             explained: Vec::new(),
             verdicts: verdicts::Verdicts::default(),
             refuted: Vec::new(),
@@ -172,7 +162,7 @@
     pub fn record_proof(&mut self, segments: &[Arc<str>], now: time::Time) {
         let now = shifted(now);
         let is_held_against = segments.iter().any(|s| self.is_held_against(s));
-        self.own_proofs.record(segments.iter().map(AsRef::as_ref), now);
+        self.proofs.record_own(segments, now);
         if is_held_against {
             self.judge(now);
         }
@@ -316,9 +306,7 @@
     /// Forgets what is too old and judges again. Call this regularly.
     pub fn refresh(&mut self, now: time::Time) {
         let (oldest, now) = (now, shifted(now));
-        self.own_proofs.discard_before(oldest);
-        self.told_proofs.discard_before(oldest);
-        self.told_sets.retain(|(_, at)| *at > oldest);
+        self.proofs.discard_before(oldest);
         if self.crashes.is_empty() && self.verdicts.all().is_empty() {
             return;
         }
@@ -330,7 +318,7 @@
     /// come first, then the newest.
     pub fn facts(&mut self, now: time::Time) -> crash_facts::CrashFacts {
         let mut facts = self.facts_within(now, MAX_VERDICT_BYTES);
-        facts.proved = self.proved_sets(shifted(now));
+        facts.proved = self.folded_proofs(shifted(now));
         facts
     }
 
@@ -345,7 +333,7 @@
         let mut by_weight: Vec<&crash::Crash> = self.crashes.iter().collect();
         by_weight.sort_by_key(|c| std::cmp::Reverse((self.is_explained(c), c.at)));
         let mut facts = crash_facts::CrashFacts {
-            proofs: self.proof_facts(&self.refuted, now),
+            proofs: self.proofs.facts(&self.refuted, now),
             verdicts,
             verdict_count: self.verdicts.all().len(),
             ..crash_facts::CrashFacts::default()
@@ -357,7 +345,7 @@
             // One that is too large is told in parts, which take turns.
             let parts = fact.folded.len().max(1);
             fact.folded.rotate_left(self.rounds % parts);
-            let proofs = self.proof_facts(&fact.suspects, now);
+            let proofs = self.proofs.facts(&fact.suspects, now);
             let proofs_len = proofs.iter().map(crash_facts::ProofFact::encoded_len).sum::<usize>();
             while fact.encoded_len() + proofs_len > max_bytes && fact.folded.pop().is_some() {}
             let len = fact.encoded_len() + proofs_len;
@@ -390,99 +378,37 @@
         explained.flatten().unwrap_or_else(|| crash.to_fact(weight, now))
     }
 
-    /// Returns this instance's own proofs of `suspects`.
-    fn proof_facts(&self, suspects: &[Arc<str>], now: time::Time) -> Vec<crash_facts::ProofFact> {
-        let proofs = suspects.iter().filter_map(|segment| {
-            let at = self.own_proofs.last(segment)?;
-            Some(crash_facts::ProofFact {
-                segment: Arc::clone(segment),
-                age_ms: now.since(at).as_millis() as u64,
-            })
-        });
-        proofs.collect()
-    }
-
-    /// Returns this instance's own proofs of the suspects of crowded crashes: those since the newest crash, which clear their segments,
-    /// and former ones.
-    fn proved_sets(&self, now: time::Time) -> Vec<crash_facts::ProvedSet> {
+    /// Returns this instance's own proofs of the suspects of crowded crashes.
+    fn folded_proofs(&self, now: time::Time) -> Vec<crash_facts::ProvedSet> {
         let crowded = self.crashes.iter().filter(|c| c.is_crowded());
-        let mut named: Vec<&Arc<str>> = crowded.flat_map(|c| &c.suspects).collect();
-        named.sort_unstable();
-        named.dedup();
-        let newest = self.crashes.iter().map(|c| c.at).max().unwrap_or_default();
-        let (mut fresh, mut former, mut unproved) = (Vec::new(), Vec::new(), Vec::new());
-        let (mut fresh_at, mut former_at) = (now, now);
-        for suspect in named {
-            let digest = folded_set::digest(suspect);
-            match self.own_proofs.last(suspect) {
-                Some(at) if at > newest => {
-                    fresh.push(digest);
-                    fresh_at = fresh_at.min(at);
-                }
-                Some(at) => {
-                    former.push(digest);
-                    former_at = former_at.min(at);
-                }
-                None => unproved.push(digest),
-            }
-        }
-        let not_fresh = [former.as_slice(), &unproved].concat();
-        let groups = [(fresh, fresh_at, not_fresh), (former, former_at, unproved)];
-        let mut parts = Vec::new();
-        for (proved, at, others) in &groups {
-            parts.extend(proved.chunks(folded_set::MAX_SUSPECTS).map(|part| (part, *at, others)));
-        }
-        // Those that don't fit take turns.
-        let first = self.rounds % parts.len().max(1);
-        parts.rotate_left(first);
-        let mut bytes = 0;
-        let sets = parts.into_iter().filter_map(|(proved, at, others)| {
-            let segments = folded_set::FoldedSet::without(proved, others)?;
-            bytes += segments.encoded_len();
-            (bytes <= MAX_PROVED_BYTES).then(|| crash_facts::ProvedSet {
-                segments,
-                age_ms: now.since(at).as_millis() as u64,
-            })
-        });
-        sets.collect()
-    }
-
-    /// Keeps folded proofs of another instance that were seen at the time `at`. Returns whether they change what is held against named
-    /// suspects.
-    fn add_proved_set(&mut self, set: &folded_set::FoldedSet, at: time::Time) -> bool {
-        match self.told_sets.iter_mut().find(|(known, _)| known == set) {
-            Some((_, known_at)) if *known_at >= at => return false,
-            Some((_, known_at)) => *known_at = at,
-            None => {
-                if self.told_sets.len() >= MAX_PROVED_SETS {
-                    self.told_sets.remove(0);
-                }
-                self.told_sets.push((set.clone(), at));
-            }
+        let mut suspects: Vec<&Arc<str>> = crowded.flat_map(|c| &c.suspects).collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        let newest_crash = self.crashes.iter().map(|c| c.at).max().unwrap_or_default();
+        self.proofs
+            .folded_facts(suspects.into_iter(), newest_crash, self.rounds, now)
+    }
+
+    /// Takes over folded proofs that another instance has seen at the time `at`. Returns whether they change what is held against
+    /// suspects that are known by name.
+    fn add_folded_proofs(&mut self, set: &folded_set::FoldedSet, at: time::Time) -> bool {
+        if !self.proofs.record_told_set(set, at) {
+            return false;
         }
-        let named = self.crashes.iter().flat_map(|c| &c.suspects);
         // One that alone explains crashes here may be found in the set by mistake.
         let is_proved = |s: &&Arc<str>| {
-            set.may_contain(folded_set::digest(s))
-                && self.last_proof(s).is_none_or(|p| p < at)
-                && !self.is_quarantined_alone(s)
+            let is_older = self.last_proof(s).is_none_or(|proved_at| proved_at < at);
+            set.may_contain(folded_set::digest(s)) && is_older && !self.is_quarantined_alone(s)
         };
+        let named = self.crashes.iter().flat_map(|c| &c.suspects);
         let mut proved: Vec<Arc<str>> = named.filter(is_proved).cloned().collect();
         proved.sort_unstable();
         proved.dedup();
         let has_changed = proved.iter().any(|s| self.is_held_against(s));
-        self.told_proofs.record(proved.iter().map(AsRef::as_ref), at);
+        self.proofs.record_told(&proved, at);
         has_changed
     }
 
-    /// Takes the proofs of `suspects` out of folded ones.
-    fn unfold_proofs(&mut self, suspects: &[(Arc<str>, owner::Owner)]) {
-        for (set, at) in &self.told_sets {
-            let proved = suspects.iter().filter(|(s, _)| set.may_contain(folded_set::digest(s)));
-            self.told_proofs.record(proved.map(|(s, _)| s.as_ref()), *at);
-        }
-    }
-
     /// Returns how many reports of this instance itself were news to it.
     pub fn own_reports(&self) -> u64 {
         self.own_reports
@@ -525,12 +451,12 @@
             let is_held_against = is_suspected(&self.crashes, &proof.segment) || self.verdicts.contains(&proof.segment);
             if let Some(at) = time_of(proof.age_ms).filter(|_| is_held_against) {
                 has_changed |= self.is_held_against(&proof.segment);
-                self.told_proofs.record([proof.segment.as_ref()], at);
+                self.proofs.record_told([&proof.segment], at);
             }
         }
         for set in &facts.proved {
             if let Some(at) = time_of(set.age_ms) {
-                has_changed |= self.add_proved_set(&set.segments, at);
+                has_changed |= self.add_folded_proofs(&set.segments, at);
             }
         }
         if has_changed {
@@ -545,7 +471,7 @@
     /// Returns whether an answer has shown that `suspect` is sound since a quarantine that another instance tells was
     /// decided. If this instance has seen the answer, it tells that from now on.
     fn is_refuted(&mut self, suspect: &Arc<str>, decided_at: time::Time) -> bool {
-        if self.own_proofs.last(suspect).is_some_and(|at| at > decided_at) && !self.refuted.contains(suspect) {
+        if self.proofs.last_own(suspect).is_some_and(|at| at > decided_at) && !self.refuted.contains(suspect) {
             if self.refuted.len() >= MAX_REFUTED {
                 self.refuted.remove(0);
             }
@@ -688,7 +614,8 @@
                 .collect();
             named.sort_by(|a, b| a.0.cmp(&b.0));
             named.dedup_by(|a, b| a.0 == b.0);
-            self.unfold_proofs(&named);
+            let unfolded: Vec<&Arc<str>> = named.iter().map(|(s, _)| s).collect();
+            self.proofs.unfold(&unfolded);
             self.make_room(&mut named, now, is_same);
             if let Some(crash) = self.crashes.iter_mut().find(|c| is_same(c)) {
                 crash.add_suspects(named);
@@ -746,9 +673,9 @@
     /// Ends the kept quarantines that have lasted for [`MEMORY`], that an answer has refuted, or whose crashes something else
     /// explains.
     fn review_verdicts(&mut self, now: time::Time) {
-        let (own_proofs, told_proofs, explained) = (&self.own_proofs, &self.told_proofs, &self.explained);
+        let (proofs, explained) = (&self.proofs, &self.explained);
         self.verdicts.retain(|v| {
-            let last_proof = own_proofs.last(&v.suspect).max(told_proofs.last(&v.suspect));
+            let last_proof = proofs.last(&v.suspect);
             let is_explained = |e: &Arc<str>| explained.binary_search(e).is_ok();
             let has_other_cause = !v.endpoints.is_empty() && v.endpoints.iter().all(is_explained);
             now.since(v.decided_at) < MEMORY && last_proof.is_none_or(|at| at <= v.decided_at) && !has_other_cause
@@ -888,7 +815,7 @@
     }
 
     fn last_proof(&self, segment: &Arc<str>) -> Option<time::Time> {
-        self.own_proofs.last(segment).max(self.told_proofs.last(segment))
+        self.proofs.last(segment)
     }
 }
 
--- a/crates/core/src/direct/folded_set.rs
+++ b/crates/core/src/direct/folded_set.rs
@@ -8,14 +8,15 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-/// Bits for each suspect, of which some three in a thousand others are found by mistake.
-const BITS_PER_SUSPECT: usize = 12;
-/// The number of hashes that suits it best: that of bits for each suspect times ln 2.
-const HASHES: u32 = 8;
+/// Bits for each suspect, at which five in ten million others are found by mistake.
+const BITS_PER_SUSPECT: usize = 32;
+/// The number of hashes that suits the largest sets best.
+const HASHES: u32 = 14;
 /// Upper bound of the size in bytes.
-const MAX_BYTES: usize = 3 << 10;
-/// Upper bound of the number of suspects in a set. More are folded into several sets.
-pub(super) const MAX_SUSPECTS: usize = MAX_BYTES * 8 / BITS_PER_SUSPECT;
+const MAX_BYTES: usize = 5 << 10;
+/// Upper bound of the number of suspects in a set. More are folded into several sets. The largest have 20 bits for each suspect,
+/// at which seven in 100,000 others are found by mistake.
+pub(super) const MAX_SUSPECTS: usize = 2_048;
 /// Number of salts with which a set is tried that must not contain certain suspects.
 const MAX_SALTS: u64 = 16;
 
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -41,6 +41,7 @@
 pub mod placement;
 pub mod poll_schedule;
 pub mod poll_timing;
+mod proof_record;
 mod proofs;
 pub mod quarantine;
 mod rate_limit;
