--- a/crates/core/src/direct/crash_record.rs
+++ b/crates/core/src/direct/crash_record.rs
@@ -162,12 +162,22 @@
         })
     }
 
-    /// Decides whether a request with `suspects` is sent, and whether that is a trial.
-    pub fn admit(&mut self, suspects: &Suspects<'_>, instances: &trials::Instances<'_>, now: time::Time) -> Admission {
-        let (segments, owner) = (suspects.segments, suspects.owner);
-        if self.segments.may_unfold(segments) {
+    /// Returns whether others may have told one of `suspects` in folded form, so that [`Self::unfold`] changes what is known.
+    pub fn may_unfold(&self, suspects: &Suspects<'_>) -> bool {
+        self.segments.may_unfold(suspects.segments)
+    }
+
+    /// Names those of `suspects` that others may have told in folded form, and judges them.
+    pub fn unfold(&mut self, suspects: &Suspects<'_>, now: time::Time) {
+        if self.may_unfold(suspects) {
+            let (segments, owner) = (suspects.segments, suspects.owner);
             self.change(Suspect::Segment, now, |evidence| evidence.unfold(segments, owner, now));
         }
+    }
+
+    /// Decides whether a request with `suspects` is sent, and whether that is a trial.
+    pub fn admit(&mut self, suspects: &Suspects<'_>, instances: &trials::Instances<'_>, now: time::Time) -> Admission {
+        self.unfold(suspects, now);
         let Some((suspect, quarantine)) = self.quarantined(suspects) else {
             return Admission::Admitted;
         };
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -168,6 +168,9 @@
         started: cx.started,
     };
     let suspects = call.suspects();
+    if cx.crashes.borrow().may_unfold(&suspects.as_ref()) {
+        update(cx, |crashes| crashes.unfold(&suspects.as_ref(), now));
+    }
     let admission = cx.crashes.borrow_mut().admit(&suspects.as_ref(), &instances, now);
     match admission {
         crash_record::Admission::Admitted => Ok(None),
@@ -318,8 +321,16 @@
         removed.skip(MAX_LOGGED_CHANGES).count(),
     );
     if added + removed > 0 {
+        let mut names: Vec<&str> = after
+            .iter()
+            .take(MAX_LOGGED_CHANGES)
+            .map(|q| q.suspect.as_ref())
+            .collect();
+        if after.len() > names.len() {
+            names.push("and others");
+        }
         warn!(cx.log, "further {}s were quarantined or released", name(suspect);
-            "quarantined" => added, "released" => removed);
+            "quarantined" => added, "released" => removed, "now" => names.join(","));
     }
     match suspect {
         crash_record::Suspect::Request => cx.metrics.crashes.set_quarantined_requests(after.len()),
