Entries exchange facts about crashes again; registration of metrics in a module of its own

What callers saw on: a call that crashes endpoints was stopped at the entry that saw it, and at no other one (two more crashes in the test). Gateways weren't concerned.

Cause: the new lists of folded suspects and proofs were left out where they are empty. Entries encode facts without the names of fields, so the other one couldn't decode them.

Ruled out: the verdict itself, since the entry that saw the crashes refused the call.

Change: the lists are always written. The registration of metrics moves out of metrics.rs, since crash_metrics.rs and that imported each other.

--- a/crates/core/src/direct/crash_facts.rs
+++ b/crates/core/src/direct/crash_facts.rs
@@ -8,7 +8,7 @@
 use crate::time;
 
 /// Upper bound of the length of a fact as JSON, without its identifiers.
-const FACT_BYTES: usize = 64;
+const FACT_BYTES: usize = 80;
 /// The same for a quarantine.
 const VERDICT_BYTES: usize = 88;
 /// Length of what JSON puts around an identifier in a list.
@@ -18,7 +18,7 @@
 /// Upper bound of the length of a byte that JSON escapes.
 const ESCAPE_BYTES: usize = 6;
 
-/// What an instance tells others about crashes.
+/// What an instance tells others about crashes. Entries encode it without the names of its fields, so that none may be left out.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashFacts {
     /// The crashes that it knows of.
@@ -27,7 +27,7 @@
     /// would shrink with each hop.
     pub proofs: Vec<ProofFact>,
     /// The same for suspects of crashes that have too many to name them.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default)]
     pub proved: Vec<ProvedSet>,
     /// Quarantines whose crashes it no longer knows, or some of them.
     #[serde(default)]
@@ -51,7 +51,7 @@
     pub owners: Vec<owner::Owner>,
     /// All suspects, if they are too many to name. Each gateway that saw the crash may have folded its own. Gateways of earlier
     /// builds tell none.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default)]
     pub folded: Vec<folded_set::FoldedSet>,
 }
 
--- a/crates/core/tests/direct_long_prompts.rs
+++ b/crates/core/tests/direct_long_prompts.rs
@@ -293,6 +293,23 @@
     serde_json::from_str::<CrashFacts>(&facts).expect_err("an error");
 }
 
+// Guards against facts that entries, which encode them without the names of fields, can't decode.
+#[rstest]
+#[case::few(3)]
+#[case::many(400)]
+fn facts_are_decoded_without_the_names_of_fields(#[case] count: usize) {
+    let mut gateways = Gateways::new(1);
+    gateways.crash(0, "m-1", &shared(count), 1_000);
+    for suspect in Suspect::ALL {
+        let facts = gateways.records[0].facts(suspect, at(2_000));
+        let bytes = postcard::to_stdvec(&facts).expect("facts are encoded");
+        assert_eq!(
+            postcard::from_bytes::<CrashFacts>(&bytes).expect("facts are decoded"),
+            facts
+        );
+    }
+}
+
 #[test]
 fn facts_of_earlier_builds_are_decoded() {
     let facts = r#"{"crashes":[{"endpoint":"m-1","age_ms":5,"suspects":["a"],"owners":[7]}],"proofs":[]}"#;
--- a/crates/gateway/src/crash_metrics.rs
+++ b/crates/gateway/src/crash_metrics.rs
@@ -4,7 +4,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-use crate::metrics;
+use crate::registered;
 
 /// Metrics of crashes of endpoints.
 pub(crate) struct CrashMetrics {
@@ -19,32 +19,32 @@
 impl CrashMetrics {
     pub(crate) fn new(registry: &mut Registry) -> Self {
         Self {
-            crashes: metrics::new(
+            crashes: registered::new(
                 registry,
                 "endpoint_crashes",
                 "Reports of endpoints that crashed at the beginning of a response",
             ),
-            quarantined_segments: metrics::new(
+            quarantined_segments: registered::new(
                 registry,
                 "quarantined_segments",
                 "Prompt segments that are quarantined because endpoints crash on them",
             ),
-            quarantined_requests: metrics::new(
+            quarantined_requests: registered::new(
                 registry,
                 "quarantined_requests",
                 "Requests, by their content, that are quarantined because endpoints crash on them",
             ),
-            quarantine_tests: metrics::new(
+            quarantine_tests: registered::new(
                 registry,
                 "quarantine_tests",
                 "Requests that were sent to test whether what is quarantined crashes endpoints",
             ),
-            dropped_quarantines: metrics::new(
+            dropped_quarantines: registered::new(
                 registry,
                 "dropped_quarantines",
                 "Quarantines that ended early or were not kept for want of room",
             ),
-            left_out_suspects: metrics::new(
+            left_out_suspects: registered::new(
                 registry,
                 "crash_suspects_left_out",
                 "Suspects of crashes that are not judged for want of room",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,6 +57,7 @@
 mod proxy;
 mod receive;
 mod refuse;
+mod registered;
 mod request;
 mod reservation;
 mod response_account;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,9 +10,10 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::{Metric, Registry};
+use prometheus_client::registry::Registry;
 
 use crate::crash_metrics;
+use crate::registered;
 
 /// The largest number of organisations with their own label. All others share [`OTHER_ORGANISATION`].
 const MAX_ORGANISATIONS: usize = 50;
@@ -79,91 +80,74 @@
     Histogram::new(SECONDS_BUCKETS)
 }
 
-/// Registers `metric`.
-fn registered<M>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M
-where
-    M: Metric + Clone,
-{
-    registry.register(name, help, metric.clone());
-    metric
-}
-
-/// Registers a new metric.
-pub(crate) fn new<M>(registry: &mut Registry, name: &str, help: &str) -> M
-where
-    M: Metric + Clone + Default,
-{
-    registered(registry, name, help, M::default())
-}
-
 impl Metrics {
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("sycamorestile_gateway");
         let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         let whole = Family::new_with_constructor(histogram as fn() -> Histogram);
         Self {
-            first_byte: registered(
+            first_byte: registered::registered(
                 &mut registry,
                 "first_byte_seconds",
                 "Time to the first byte of a response",
                 first_byte,
             ),
-            whole: registered(&mut registry, "whole_seconds", "Time to the end of a response", whole),
-            outcomes: new(&mut registry, "requests", "Requests by status and reason"),
-            repeated_sends: new(
+            whole: registered::registered(&mut registry, "whole_seconds", "Time to the end of a response", whole),
+            outcomes: registered::new(&mut registry, "requests", "Requests by status and reason"),
+            repeated_sends: registered::new(
                 &mut registry,
                 "repeated_sends",
                 "Requests sent to another endpoint after a failed attempt",
             ),
-            withheld_repeats: new(
+            withheld_repeats: registered::new(
                 &mut registry,
                 "withheld_repeats",
                 "Requests not sent to another endpoint because the retry budget was used up",
             ),
-            silent_attempts: new(
+            silent_attempts: registered::new(
                 &mut registry,
                 "silent_attempts",
                 "Attempts that went silent, by what became of their requests",
             ),
-            connects: new(&mut registry, "connects", "Connections opened to endpoints"),
+            connects: registered::new(&mut registry, "connects", "Connections opened to endpoints"),
             crashes: crash_metrics::CrashMetrics::new(&mut registry),
-            withheld_requests: new(
+            withheld_requests: registered::new(
                 &mut registry,
                 "withheld_requests",
                 "Requests refused because no endpoint takes requests from this instance, by cause",
             ),
-            pauses: new(&mut registry, "endpoint_pauses", "Pauses that endpoints have asked for"),
-            held_response_bytes: new(
+            pauses: registered::new(&mut registry, "endpoint_pauses", "Pauses that endpoints have asked for"),
+            held_response_bytes: registered::new(
                 &mut registry,
                 "held_response_bytes",
                 "Bytes of responses that wait for their callers",
             ),
-            open_responses: new(
+            open_responses: registered::new(
                 &mut registry,
                 "open_responses",
                 "Responses that were forwarded while they were read, for want of room",
             ),
-            table_era: new(
+            table_era: registered::new(
                 &mut registry,
                 "table_era",
                 "How often the platform's table has come back from an older copy, as the table counts it",
             ),
-            endpoint_list_age: new(
+            endpoint_list_age: registered::new(
                 &mut registry,
                 "endpoint_list_age_milliseconds",
                 "Time since which changes of endpoints may be unknown, by this gateway's own reads and those of its peers",
             ),
-            paused_endpoints: new(
+            paused_endpoints: registered::new(
                 &mut registry,
                 "paused_endpoints",
                 "Endpoints that have asked for a pause that still runs",
             ),
-            leaving_endpoints: new(
+            leaving_endpoints: registered::new(
                 &mut registry,
                 "leaving_endpoints",
                 "Endpoints that have said that they leave",
             ),
-            forgotten_withdrawals: new(
+            forgotten_withdrawals: registered::new(
                 &mut registry,
                 "forgotten_withdrawals",
                 "Withdrawals of unlisted endpoints that were forgotten for want of room",
