Proofs that end a quarantine go into the table's row

Cause: the facts about such crashes use up what a gateway may send in datagrams, so that its proofs waited. Whether the test shows it depends on which of the two gateways has the turn to test.

Ruled out: proofs that aren't found in the folded set, since the smaller prompts pass; the time of the verdict, which both had.

Change: a proof that ends a quarantine counts as a report of this instance, which writes its row; the row holds folded proofs in part of the room for quarantines without crashes.

--- a/crates/core/src/direct/crash_evidence.rs
+++ b/crates/core/src/direct/crash_evidence.rs
@@ -73,7 +73,7 @@
     counts_each_crash: bool,
     /// At most [`MAX_CRASHES`], with [`MAX_SUSPECTS`] in all.
     crashes: Vec<crash::Crash>,
-    /// Number of reports of this instance that were news to it.
+    /// Number of reports of this instance that were news to it, and of its proofs that ended a quarantine.
     own_reports: u64,
     /// Number of suspects of crashes that there was no room for.
     left_out: u64,
@@ -164,7 +164,9 @@
         let is_held_against = segments.iter().any(|s| self.is_held_against(s));
         self.proofs.record_own(segments, now);
         if is_held_against {
+            let before = self.quarantined.len();
             self.judge(now);
+            self.own_reports += u64::from(self.quarantined.len() < before);
         }
     }
 
@@ -324,7 +326,16 @@
 
     /// Returns what to write to the table.
     pub fn facts_for_table(&mut self, now: time::Time) -> crash_facts::CrashFacts {
-        self.facts_within(now, MAX_ROW_VERDICT_BYTES)
+        let proved = self.folded_proofs(shifted(now));
+        // They share the room of a row.
+        let proved_bytes = if proved.is_empty() {
+            0
+        } else {
+            proof_record::MAX_PROVED_BYTES
+        };
+        let mut facts = self.facts_within(now, MAX_ROW_VERDICT_BYTES - proved_bytes);
+        facts.proved = proved;
+        facts
     }
 
     fn facts_within(&mut self, now: time::Time, max_verdict_bytes: usize) -> crash_facts::CrashFacts {
@@ -409,7 +420,7 @@
         has_changed
     }
 
-    /// Returns how many reports of this instance itself were news to it.
+    /// Returns how many reports of this instance itself were news to it, or ended a quarantine.
     pub fn own_reports(&self) -> u64 {
         self.own_reports
     }
--- a/crates/core/src/direct/proof_record.rs
+++ b/crates/core/src/direct/proof_record.rs
@@ -5,8 +5,8 @@
 use crate::direct::{crash_facts, folded_set, proofs};
 use crate::time;
 
-/// Upper bound of the encoded length of folded proofs in a datagram, which holds at least one of the largest sets.
-const MAX_PROVED_BYTES: usize = 7 << 10;
+/// Upper bound of the encoded length of folded proofs in a message, which holds at least one of the largest sets.
+pub(super) const MAX_PROVED_BYTES: usize = 7 << 10;
 /// Upper bound of the number of folded proofs of others that are kept.
 const MAX_PROVED_SETS: usize = 16;
 
